--- /dev/null
+++ b/jujuberun/kernel.py
@@ -0,0 +1,76 @@
+"""Micro-kernel: parts are registered and found by name, and run together."""
+
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskStatus
+
+from jujuberun.errors import JujuberunError
+
+
+class Part(Protocol):
+    """A service of the process that the kernel runs.
+
+    Attributes:
+        name: unique in the process; other parts find it by this name.
+    """
+
+    name: str
+
+    async def run(self, task_status: TaskStatus[None]) -> None:
+        """Runs until cancelled; reports started() once it can serve."""
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns its state as JSON types, for the state dump."""
+
+
+class Kernel:
+    """Runs the parts of one process."""
+
+    def __init__(self) -> None:
+        self._parts: dict[str, Part] = {}
+        self._scope = anyio.CancelScope()
+
+    def register(self, part: Part) -> None:
+        """Adds a part.
+
+        Raises:
+            JujuberunError: the name is taken.
+        """
+        if part.name in self._parts:
+            raise JujuberunError("register part", part.name, "name is taken")
+        self._parts[part.name] = part
+
+    def find(self, name: str) -> Any:
+        """Returns the part with this name.
+
+        Raises:
+            JujuberunError: there is none.
+        """
+        part = self._parts.get(name)
+        if part is None:
+            raise JujuberunError("find part", name, "is not registered")
+        return part
+
+    def list_parts(self) -> tuple[Part, ...]:
+        """Returns all parts in the order of their registration."""
+        return tuple(self._parts.values())
+
+    async def run(
+        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Starts the parts in order and runs them until stop() is called."""
+        with self._scope:
+            async with anyio.create_task_group() as group:
+                for part in self._parts.values():
+                    await group.start(part.run)
+                task_status.started()
+                await anyio.sleep_forever()
+
+    def stop(self) -> None:
+        """Cancels all parts."""
+        self._scope.cancel()
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns the state of all parts by name, as JSON types."""
+        return {p.name: p.dump_state(now) for p in self._parts.values()}
--- /dev/null
+++ b/jujuberun/manifest.py
@@ -0,0 +1,314 @@
+"""The manifest: services, their targets and a generation."""
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+from enum import Enum
+from importlib import resources
+from typing import Any
+
+import jsonschema
+from result import Err, Ok, Result
+
+from jujuberun.errors import ManifestError
+from jujuberun.ids import (
+    Address,
+    DomainId,
+    Generation,
+    Protocol,
+    ServiceId,
+    TargetId,
+    Urgency,
+)
+
+MAX_MANIFEST_BYTES = 1_000_000
+_STEP = "check manifest"
+
+
+class FirstPacketRule(Enum):
+    """How a datagram that may start a flow is recognised."""
+
+    QUIC = "quic"
+    ANY = "any"
+    PREFIX = "prefix"
+
+
+@dataclass(frozen=True, slots=True)
+class FirstPacket:
+    """Tells whether a datagram may start a flow.
+
+    Attributes:
+        rule: the kind of rule.
+        prefix: bytes that the first datagram begins with, for PREFIX.
+    """
+
+    rule: FirstPacketRule
+    prefix: bytes = b""
+
+    @classmethod
+    def from_config(cls, text: str) -> "FirstPacket":
+        """Builds the rule from its text in the manifest.
+
+        Args:
+            text: "quic", "any" or "prefix:" and hexadecimal digits.
+        """
+        if text.startswith("prefix:"):
+            prefix = bytes.fromhex(text.removeprefix("prefix:"))
+            return cls(FirstPacketRule.PREFIX, prefix)
+        return cls(FirstPacketRule(text))
+
+    def accepts(self, payload: bytes) -> bool:
+        """Returns whether the payload may start a flow."""
+        match self.rule:
+            case FirstPacketRule.ANY:
+                return True
+            case FirstPacketRule.PREFIX:
+                return payload.startswith(self.prefix)
+            case FirstPacketRule.QUIC:
+                # RFC 9000: long header, fixed bit set, packet type Initial.
+                return bool(payload) and payload[0] & 0xF0 == 0xC0
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """An application process that does the work of services.
+
+    Attributes:
+        id: name, unique in the manifest.
+        address: where the application listens, as its agent reaches it.
+        agent: peer address of the agent beside it.
+        domain: failure domain of its VM.
+        slots: requests that it runs at the same time.
+        connection_limit: flows that it holds at the same time.
+    """
+
+    id: TargetId
+    address: Address
+    agent: Address
+    domain: DomainId
+    slots: int
+    connection_limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service and the targets that carry it.
+
+    Attributes:
+        id: name, unique in the manifest.
+        address: where callers send their packets.
+        urgency: class for admission.
+        headroom: 0 uses as few targets as possible, 1 spreads over all.
+        protocol: how agents end its flows.
+        first_packet: which datagrams may start a flow.
+        targets: ids of its targets, in the manifest's order.
+    """
+
+    id: ServiceId
+    address: Address
+    urgency: Urgency
+    headroom: float
+    protocol: Protocol
+    first_packet: FirstPacket
+    targets: tuple[TargetId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """One accepted manifest.
+
+    Attributes:
+        generation: version number; a higher one replaces a lower one.
+        services: by id.
+        targets: by id.
+        digest: BLAKE2b of the canonical text, 16 bytes.
+    """
+
+    generation: Generation
+    services: dict[ServiceId, Service]
+    targets: dict[TargetId, Target]
+    digest: bytes = field(compare=False, default=b"")
+
+    def find_service(self, address: Address) -> Service | None:
+        """Returns the service at an address, or None."""
+        for service in self.services.values():
+            if service.address == address:
+                return service
+        return None
+
+
+def load_schema() -> dict[str, Any]:
+    """Returns the JSON schema of the manifest."""
+    text = resources.files("jujuberun").joinpath("manifest.schema.json")
+    return json.loads(text.read_text(encoding="utf-8"))
+
+
+def parse_address(text: str) -> Address:
+    """Parses "host:port" with a dotted IPv4 host."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def format_address(address: Address) -> str:
+    """Formats an address as "host:port"."""
+    return f"{address[0]}:{address[1]}"
+
+
+def parse_manifest(data: bytes) -> Result[Manifest, ManifestError]:
+    """Parses and validates a manifest.
+
+    Args:
+        data: JSON text, UTF-8, at most MAX_MANIFEST_BYTES bytes.
+
+    Returns:
+        Ok with the manifest, or Err naming the key, its value and what is
+        allowed.
+    """
+    if len(data) > MAX_MANIFEST_BYTES:
+        return _refuse("file", f"{len(data)} bytes", "at most 1,000,000 bytes")
+    try:
+        document = json.loads(data, object_pairs_hook=_build_object)
+    except (ValueError, RecursionError) as error:
+        return _refuse("file", "text", f"one JSON object ({error})")
+    checker = jsonschema.Draft202012Validator(_SCHEMA)
+    failure = jsonschema.exceptions.best_match(checker.iter_errors(document))
+    if failure is not None:
+        return _refuse_by_schema(failure)
+    problem = _find_problem(document)
+    if problem is not None:
+        return Err(problem)
+    return Ok(_build_manifest(document))
+
+
+def dump_manifest(manifest: Manifest) -> bytes:
+    """Returns the canonical JSON text of a manifest."""
+    document = {
+        "generation": manifest.generation,
+        "services": [_dump_service(s) for s in manifest.services.values()],
+        "targets": [_dump_target(t) for t in manifest.targets.values()],
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    keys = dict(pairs)
+    if len(keys) != len(pairs):
+        names = [name for name, _ in pairs]
+        double = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"key {double!r} stands twice in one object")
+    return keys
+
+
+def _refuse(key: str, value: str, allowed: str) -> Err[ManifestError]:
+    return Err(ManifestError(_STEP, key, f"is {value}; allowed: {allowed}"))
+
+
+def _refuse_by_schema(
+    failure: jsonschema.ValidationError,
+) -> Err[ManifestError]:
+    path = ".".join(str(part) for part in failure.absolute_path) or "manifest"
+    value = json.dumps(failure.instance)
+    if len(value) > 60:
+        value = value[:57] + "..."
+    allowed = failure.schema.get("description", failure.message)
+    if failure.validator in ("additionalProperties", "required"):
+        allowed = failure.message
+    return _refuse(path, value, allowed)
+
+
+def _find_problem(document: dict[str, Any]) -> ManifestError | None:
+    for kind in ("services", "targets"):
+        seen = set()
+        for index, entry in enumerate(document[kind]):
+            if entry["id"] in seen:
+                return _refuse(
+                    f"{kind}.{index}.id", repr(entry["id"]), "a unique id"
+                ).err_value
+            seen.add(entry["id"])
+    targets = {entry["id"] for entry in document["targets"]}
+    addresses: dict[str, str] = {}
+    for index, service in enumerate(document["services"]):
+        address = service["address"]
+        if address in addresses:
+            return _refuse(
+                f"services.{index}.address",
+                repr(address),
+                f"an address that {addresses[address]!r} does not have",
+            ).err_value
+        addresses[address] = service["id"]
+        for place, name in enumerate(service["targets"]):
+            if name not in targets:
+                return _refuse(
+                    f"services.{index}.targets.{place}",
+                    repr(name),
+                    "the id of a target that the manifest defines",
+                ).err_value
+    return None
+
+
+def _build_manifest(document: dict[str, Any]) -> Manifest:
+    services = [_build_service(entry) for entry in document["services"]]
+    targets = [_build_target(entry) for entry in document["targets"]]
+    manifest = Manifest(
+        Generation(document["generation"]),
+        {service.id: service for service in services},
+        {target.id: target for target in targets},
+    )
+    canonical = dump_manifest(manifest)
+    digest = hashlib.blake2b(canonical, digest_size=16).digest()
+    return Manifest(
+        manifest.generation, manifest.services, manifest.targets, digest
+    )
+
+
+def _build_service(entry: dict[str, Any]) -> Service:
+    return Service(
+        id=ServiceId(entry["id"]),
+        address=parse_address(entry["address"]),
+        urgency=Urgency[entry["urgency"].upper()],
+        headroom=float(entry["headroom"]),
+        protocol=Protocol(entry["protocol"]),
+        first_packet=FirstPacket.from_config(entry["first_packet"]),
+        targets=tuple(TargetId(name) for name in entry["targets"]),
+    )
+
+
+def _build_target(entry: dict[str, Any]) -> Target:
+    return Target(
+        id=TargetId(entry["id"]),
+        address=parse_address(entry["address"]),
+        agent=parse_address(entry["agent"]),
+        domain=DomainId(entry["domain"]),
+        slots=entry["slots"],
+        connection_limit=entry["connection_limit"],
+    )
+
+
+def _dump_service(service: Service) -> dict[str, Any]:
+    first = service.first_packet
+    rule = first.rule.value
+    if first.rule is FirstPacketRule.PREFIX:
+        rule = f"prefix:{first.prefix.hex()}"
+    return {
+        "id": service.id,
+        "address": format_address(service.address),
+        "urgency": service.urgency.name.lower(),
+        "headroom": service.headroom,
+        "protocol": service.protocol.value,
+        "first_packet": rule,
+        "targets": list(service.targets),
+    }
+
+
+def _dump_target(target: Target) -> dict[str, Any]:
+    return {
+        "id": target.id,
+        "address": format_address(target.address),
+        "agent": format_address(target.agent),
+        "domain": target.domain,
+        "slots": target.slots,
+        "connection_limit": target.connection_limit,
+    }
+
+
+_SCHEMA = load_schema()
--- /dev/null
+++ b/jujuberun/port.py
@@ -0,0 +1,98 @@
+"""Datagram ports: the one place where packets enter and leave a process."""
+
+import socket
+from typing import Protocol
+
+import anyio
+
+from jujuberun.ids import Address
+
+BATCH_PACKETS = 64  # bounds the time that one port keeps the event loop
+RECEIVE_BUFFER_BYTES = 4 << 20
+_MAX_PACKET_BYTES = 65_536
+
+
+class Port(Protocol):
+    """Sends and receives datagrams.
+
+    Attributes:
+        address: the local address.
+    """
+
+    address: Address
+
+    async def receive(self) -> list[tuple[bytes, Address]]:
+        """Waits for packets; returns at most BATCH_PACKETS with senders."""
+
+    def send(self, data: bytes, address: Address) -> bool:
+        """Sends a datagram; False when the kernel had no room for it."""
+
+    def close(self) -> None:
+        """Closes the port."""
+
+
+class SocketPort:
+    """A port on a UDP socket."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.address: Address = sock.getsockname()
+
+    @classmethod
+    def bind(
+        cls, address: Address, buffer_bytes: int = RECEIVE_BUFFER_BYTES
+    ) -> "SocketPort":
+        """Binds a UDP socket.
+
+        Args:
+            address: local address; port 0 lets the kernel choose.
+            buffer_bytes: size of the kernel's receive buffer.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+        try:
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
+        return cls(sock)
+
+    async def receive(self) -> list[tuple[bytes, Address]]:
+        """Waits for packets; returns at most BATCH_PACKETS with senders."""
+        while True:
+            await anyio.wait_readable(self._sock)
+            batch = self.drain()
+            if batch:
+                return batch
+
+    def drain(self) -> list[tuple[bytes, Address]]:
+        """Returns the packets that wait now, at most BATCH_PACKETS."""
+        receive = self._sock.recvfrom
+        batch = []
+        for _ in range(BATCH_PACKETS):
+            try:
+                batch.append(receive(_MAX_PACKET_BYTES))
+            except BlockingIOError:
+                break
+            except ConnectionRefusedError:
+                # An earlier send met a closed port; the error says nothing
+                # about the packets that wait here.
+                continue
+        return batch
+
+    def send(self, data: bytes, address: Address) -> bool:
+        """Sends a datagram; False when the kernel had no room for it."""
+        try:
+            self._sock.sendto(data, address)
+        except OSError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._sock.close()
--- /dev/null
+++ b/jujuberun/wire.py
@@ -0,0 +1,380 @@
+"""Thrift messages between daemons, their envelope, MAC and replay window."""
+
+import hashlib
+import secrets
+import socket
+import struct
+import time
+from collections.abc import Sequence
+from importlib import resources
+from typing import Any
+
+import thriftpy2
+from result import Err, Ok, Result
+from thriftpy2.protocol.cybin import TCyBinaryProtocol
+from thriftpy2.thrift import TException
+from thriftpy2.transport.memory import TCyMemoryBuffer
+
+from jujuberun.errors import WireError
+from jujuberun.ids import Address, FlowId
+
+MAC_BYTES = 16
+MAX_DATAGRAM_BYTES = 65_000
+MAX_PAYLOAD_BYTES = 60_000
+FRESH_MS = 30_000
+REPLAY_WINDOW = 1024  # sequence numbers per sender
+RESET_KIND = "jujuberun-reset"
+_MAX_SENDERS = 20_000
+_STEP = "open message"
+
+messages = thriftpy2.load(
+    str(resources.files("jujuberun").joinpath("jujuberun.thrift")),
+    module_name="jujuberun_thrift",
+)
+Answer = messages.Answer
+Claim = messages.Claim
+ClaimReply = messages.ClaimReply
+Envelope = messages.Envelope
+FlowRecord = messages.FlowRecord
+FlowReset = messages.FlowReset
+Forward = messages.Forward
+Hint = messages.Hint
+Load = messages.Load
+Probe = messages.Probe
+ProbeReply = messages.ProbeReply
+Register = messages.Register
+Release = messages.Release
+Reset = messages.Reset
+Status = messages.Status
+
+_FIELDS = {
+    spec[2]: spec[1]
+    for number, spec in Envelope.thrift_spec.items()
+    if number >= 10
+}
+_BODY_NAMES = tuple(_FIELDS.values())
+
+
+def pack_address(address: Address) -> bytes:
+    """Packs an IPv4 address and port into 6 bytes."""
+    return socket.inet_aton(address[0]) + address[1].to_bytes(2, "big")
+
+
+def unpack_address(packed: bytes) -> Address:
+    """Unpacks what pack_address packed.
+
+    Raises:
+        WireError: the length is not 6.
+    """
+    if len(packed) != 6:
+        raise WireError(_STEP, "", f"address has {len(packed)} bytes, not 6")
+    return socket.inet_ntoa(packed[:4]), int.from_bytes(packed[4:], "big")
+
+
+def make_flow_id(address: bytes, caller: bytes) -> FlowId:
+    """Returns the flow id of a packed service address and caller address."""
+    return FlowId(hashlib.blake2b(address + caller, digest_size=8).digest())
+
+
+def encode(message: Any) -> bytes:
+    """Encodes a Thrift struct in the binary protocol."""
+    buffer = TCyMemoryBuffer()
+    protocol = TCyBinaryProtocol(buffer)
+    protocol.write_struct(message)
+    return buffer.getvalue()
+
+
+def decode(kind: type, data: bytes) -> Any:
+    """Decodes one Thrift struct.
+
+    Raises:
+        WireError: the data are truncated or malformed.
+    """
+    message = kind()
+    try:
+        TCyBinaryProtocol(TCyMemoryBuffer(data)).read_struct(message)
+    except (TException, EOFError, ValueError, MemoryError) as error:
+        raise WireError(_STEP, "", f"malformed: {error}") from error
+    except Exception as error:  # noqa: BLE001
+        # The codec raises bare exceptions of several kinds on bad input.
+        raise WireError(_STEP, "", f"malformed: {error!r}") from error
+    return message
+
+
+def make_reset(reason: str, retry_after: int, datagram: bytes) -> bytes:
+    """Builds the reset datagram that a caller receives.
+
+    Args:
+        reason: short word, for example "unknown-flow".
+        retry_after: milliseconds until a new attempt makes sense.
+        datagram: the caller's datagram that is refused, or its quote.
+    """
+    quoted = datagram if len(datagram) == 8 else quote(datagram)
+    return encode(FlowReset(RESET_KIND, reason, retry_after, quoted))
+
+
+def parse_reset(data: bytes) -> Any | None:
+    """Returns the FlowReset in a datagram to a caller, or None."""
+    if len(data) > 200 or not data.startswith(b"\x0b\x00\x01"):
+        return None
+    try:
+        reset = decode(FlowReset, data)
+    except WireError:
+        return None
+    return reset if reset.kind == RESET_KIND else None
+
+
+def quote(datagram: bytes) -> bytes:
+    """Returns the 8 bytes by which a reset quotes a caller's datagram."""
+    return hashlib.blake2b(datagram, digest_size=8).digest()
+
+
+class Signer:
+    """Signs and verifies messages with rotating keys.
+
+    The first key signs; each key is accepted, so that keys can be rotated
+    without a moment at which two daemons refuse each other.
+    """
+
+    def __init__(self, keys: Sequence[bytes]) -> None:
+        if not keys:
+            raise WireError("load keys", "", "at least one key is needed")
+        self._hashers = [
+            hashlib.blake2b(key=key, digest_size=MAC_BYTES) for key in keys
+        ]
+
+    def sign(self, body: bytes) -> bytes:
+        """Returns the MAC of a message body."""
+        hasher = self._hashers[0].copy()
+        hasher.update(body)
+        return hasher.digest()
+
+    def verify(self, mac: bytes, body: bytes) -> bool:
+        """Returns whether one of the keys made this MAC."""
+        for keyed in self._hashers:
+            hasher = keyed.copy()
+            hasher.update(body)
+            if secrets.compare_digest(mac, hasher.digest()):
+                return True
+        return False
+
+
+class ReplayWindow:
+    """Sliding window over the sequence numbers of one sender."""
+
+    __slots__ = ("_highest", "_seen", "used")
+
+    def __init__(self) -> None:
+        self._highest = 0
+        self._seen = 0
+        self.used = 0
+
+    def accept(self, sequence: int, now_ms: int) -> bool:
+        """Records a sequence number; False when it was seen or is too old."""
+        self.used = now_ms
+        ahead = sequence - self._highest
+        if ahead > 0:
+            if ahead >= REPLAY_WINDOW:
+                self._seen = 1
+            else:
+                mask = (1 << REPLAY_WINDOW) - 1
+                self._seen = ((self._seen << ahead) | 1) & mask
+            self._highest = sequence
+            return True
+        if -ahead >= REPLAY_WINDOW:
+            return False
+        bit = 1 << -ahead
+        if self._seen & bit:
+            return False
+        self._seen |= bit
+        return True
+
+
+class Counter:
+    """Sequence number that all messages to one receiver share."""
+
+    __slots__ = ("value",)
+
+    def __init__(self) -> None:
+        self.value = 0
+
+
+class Codec:
+    """Seals and opens messages of one process.
+
+    Attributes:
+        incarnation: random number that names this run of the process.
+    """
+
+    def __init__(self, signer: Signer, incarnation: int | None = None) -> None:
+        self.incarnation = incarnation or secrets.randbits(62) + 1
+        self._signer = signer
+        self._counters: dict[Any, Counter] = {}
+        self._windows: dict[int, ReplayWindow] = {}
+
+    def seal(self, message: Any, receiver: Any, now_ms: int) -> bytes:
+        """Encodes and signs one message.
+
+        Args:
+            message: one of the body structs of Envelope.
+            receiver: key of the receiver, usually its address.
+            now_ms: wall clock in milliseconds.
+
+        Returns:
+            MAC and envelope as one datagram.
+
+        Raises:
+            WireError: the datagram would be larger than MAX_DATAGRAM_BYTES.
+        """
+        body = self.encode_body(message, receiver, now_ms)
+        if len(body) + MAC_BYTES > MAX_DATAGRAM_BYTES:
+            raise WireError(
+                "seal message", str(receiver), f"{len(body)} bytes are too many"
+            )
+        return self._signer.sign(body) + body
+
+    def encode_body(self, message: Any, receiver: Any, now_ms: int) -> bytes:
+        """Encodes an envelope without its MAC."""
+        counter = self.find_counter(receiver)
+        counter.value += 1
+        envelope = Envelope(self.incarnation, counter.value, now_ms)
+        setattr(envelope, _find_field(message), message)
+        return encode(envelope)
+
+    def find_counter(self, receiver: Any) -> Counter:
+        """Returns the sequence counter of a receiver."""
+        counter = self._counters.get(receiver)
+        if counter is None:
+            counter = self._counters[receiver] = Counter()
+        return counter
+
+    def make_route(self, forward: Any, receiver: Any) -> "ForwardRoute":
+        """Returns an encoder of packets with the fields of a Forward.
+
+        Args:
+            forward: Forward without caller and payload.
+            receiver: key of the receiver, usually its address.
+        """
+        return ForwardRoute(
+            self._signer, self.incarnation, self.find_counter(receiver), forward
+        )
+
+    def open(
+        self, datagram: bytes, now_ms: int, limit: int = MAX_DATAGRAM_BYTES
+    ) -> Result[Any, str]:
+        """Verifies and decodes one datagram.
+
+        Args:
+            datagram: MAC and envelope.
+            now_ms: wall clock in milliseconds.
+            limit: largest accepted size in bytes.
+
+        Returns:
+            Ok with the envelope, or Err with the reason to count: "truncated",
+            "oversized", "mac", "malformed", "stale" or "replay".
+        """
+        if len(datagram) <= MAC_BYTES:
+            return Err("truncated")
+        if len(datagram) > limit:
+            return Err("oversized")
+        mac, body = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
+        if not self._signer.verify(mac, body):
+            return Err("mac")
+        try:
+            envelope = decode(Envelope, body)
+        except WireError:
+            return Err("malformed")
+        if envelope.sender is None or envelope.sequence is None:
+            return Err("malformed")
+        if envelope.sent is None or abs(now_ms - envelope.sent) > FRESH_MS:
+            return Err("stale")
+        window = self._windows.get(envelope.sender)
+        if window is None:
+            window = self._add_window(envelope.sender, now_ms)
+        if not window.accept(envelope.sequence, now_ms):
+            return Err("replay")
+        return Ok(envelope)
+
+    def _add_window(self, sender: int, now_ms: int) -> ReplayWindow:
+        if len(self._windows) >= _MAX_SENDERS:
+            # A window may go once its sender's messages would be stale anyway.
+            self._windows = {
+                key: window
+                for key, window in self._windows.items()
+                if now_ms - window.used <= 2 * FRESH_MS
+            }
+        window = self._windows[sender] = ReplayWindow()
+        return window
+
+
+def find_body(envelope: Any) -> Any | None:
+    """Returns the one message that an envelope carries, or None."""
+    for name in _BODY_NAMES:
+        body = getattr(envelope, name)
+        if body is not None:
+            return body
+    return None
+
+
+def read_wall_clock() -> int:
+    """Returns the wall clock in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+def _find_field(message: Any) -> str:
+    return _FIELDS[type(message)]
+
+
+# Binary protocol: field type, field id, value. The tail of a Forward is
+# field 9 (caller, 6 bytes), field 10 (payload), and the stop bytes of the
+# Forward and of the envelope.
+_HEAD = struct.Struct(">bhqbhqbhqbh")
+_TAIL = struct.Struct(">bhi6sbhi")
+_T_I64, _T_STRING, _T_STRUCT = 10, 11, 12
+_STOPS = b"\x00\x00"
+
+
+class ForwardRoute:
+    """Encoder of Forward messages to one receiver with a fixed header.
+
+    The library encodes the header once; each packet only adds sequence,
+    time, caller and payload. A full encode of each packet costs as much as
+    receiving and sending it.
+    """
+
+    __slots__ = ("_counter", "_header", "_sender", "_signer")
+
+    def __init__(
+        self, signer: Signer, sender: int, counter: Counter, forward: Any
+    ) -> None:
+        self._signer = signer
+        self._sender = sender
+        self._counter = counter
+        self._header = encode(forward)[:-1]
+
+    def seal(self, caller: bytes, payload: bytes, now_ms: int) -> bytes:
+        """Returns a sealed Forward of one packet.
+
+        Args:
+            caller: packed address of the caller, 6 bytes.
+            payload: the caller's datagram.
+            now_ms: wall clock in milliseconds.
+        """
+        counter = self._counter
+        counter.value += 1
+        head = _HEAD.pack(
+            _T_I64,
+            1,
+            self._sender,
+            _T_I64,
+            2,
+            counter.value,
+            _T_I64,
+            3,
+            now_ms,
+            _T_STRUCT,
+            10,
+        )
+        tail = _TAIL.pack(_T_STRING, 9, 6, caller, _T_STRING, 10, len(payload))
+        body = b"".join((head, self._header, tail, payload, _STOPS))
+        return self._signer.sign(body) + body
