--- /dev/null
+++ b/jujuberun/measure.py
@@ -0,0 +1,82 @@
+"""Measurements: what each returns, and how it is printed."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One line of a report.
+
+    Attributes:
+        name: what was measured.
+        ours: our figure.
+        naive: figure of the naive version in the same run, if there is one.
+        unit: unit of both figures.
+        bound: the stated target as text, empty when there is none.
+        met: whether ours meets the bound, None when there is none.
+    """
+
+    name: str
+    ours: float
+    naive: float | None
+    unit: str
+    bound: str = ""
+    met: bool | None = None
+
+    @property
+    def ratio(self) -> float | None:
+        """Ours divided by the naive figure."""
+        if not self.naive:
+            return None
+        return self.ours / self.naive
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """One line of a plot."""
+
+    label: str
+    x: tuple[float, ...]
+    y: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Result of one measurement.
+
+    Attributes:
+        name: name of the measurement.
+        seed: seed that it ran with.
+        rows: figures.
+        notes: fits, residuals and remarks, a line each.
+        series: lines of its plot.
+        x_label: label of the plot's x axis, with unit.
+        y_label: label of the plot's y axis, with unit.
+    """
+
+    name: str
+    seed: int
+    rows: tuple[Row, ...]
+    notes: tuple[str, ...] = ()
+    series: tuple[Series, ...] = ()
+    x_label: str = ""
+    y_label: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Arguments of a measurement.
+
+    Attributes:
+        seed: seed of all random choices.
+        quick: a short run with fewer points, for tests.
+        progress: called with a short line now and then.
+    """
+
+    seed: int = 1
+    quick: bool = False
+    progress: Callable[[str], None] = field(default=lambda line: None)
+
+
+Measurement = Callable[[Options], Report]
