--- /dev/null
+++ b/jujuberun/balancer.py
@@ -0,0 +1,381 @@
+"""Balancer: forwards callers' packets to agents, and answers to callers."""
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+
+from jujuberun.cache import FlowCache
+from jujuberun.errors import WireError
+from jujuberun.generations import Generations, Version
+from jujuberun.ids import Address, Generation, ServiceId, TargetId
+from jujuberun.kernel import Kernel
+from jujuberun.manifest import Service, format_address
+from jujuberun.peers import Peer, Peers
+from jujuberun.port import Port, SocketPort
+from jujuberun.settings import Settings
+from jujuberun.wire import (
+    MAX_PAYLOAD_BYTES,
+    Answer,
+    Forward,
+    ForwardRoute,
+    Hint,
+    ProbeReply,
+    Reset,
+    make_flow_id,
+    make_reset,
+    pack_address,
+    read_wall_clock,
+    unpack_address,
+)
+
+MAINTAIN_S = 1.0
+RETIRED_S = 120.0  # a removed address without packets closes after this
+_MAX_HOME_ROUTES = 20_000
+logger = logging.getLogger("jujuberun.balancer")
+
+
+class Route:
+    """Where packets of some flows go, with the encoder of their messages."""
+
+    __slots__ = ("_encoder", "owner", "peer", "seal", "service_id")
+
+    def __init__(
+        self,
+        service_id: ServiceId,
+        owner: TargetId | None,
+        peer: Peer,
+        encoder: ForwardRoute,
+    ) -> None:
+        self.service_id = service_id
+        self.owner = owner
+        self.peer = peer
+        self._encoder = encoder
+        self.seal = encoder.seal
+
+
+class Listener:
+    """The socket of one service address and the routes of its flows."""
+
+    def __init__(self, port: Port, service: Service, version: Version) -> None:
+        self.port = port
+        self.address = service.address
+        self.packed = pack_address(service.address)
+        self.service = service
+        self.version = version  # the last one with this service
+        self.cache: FlowCache[Route] = FlowCache()
+        self.owner_routes: dict[tuple[str, str, Address], Route] = {}
+        self.home_routes: dict[tuple[str, ...], Route] = {}
+        self.used = 0.0
+        self.retired = False
+        self.scope = anyio.CancelScope()
+
+
+class Balancer:
+    """Part "balancer": one task for each service address."""
+
+    name = "balancer"
+
+    def __init__(
+        self,
+        peers: Peers,
+        generations: Generations,
+        open_port: Callable[[Address], Port],
+        local_addresses: dict[Address, Address],
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self._peers = peers
+        self._generations = generations
+        self._open_port = open_port
+        self._local_addresses = local_addresses
+        self._version: Version | None = None
+        self._listeners: dict[bytes, Listener] = {}
+        self._changed = anyio.Event()
+        peers.register(Answer, self._handle_answer)
+        peers.register(Hint, self._handle_hint)
+        peers.register(Reset, self._handle_reset)
+
+    @classmethod
+    def from_config(cls, settings: Settings, kernel: Kernel) -> "Balancer":
+        """Builds the part from settings and the parts that it needs."""
+        return cls(
+            kernel.find("peers"),
+            kernel.find("generations"),
+            SocketPort.bind,
+            settings.addresses,
+        )
+
+    async def run(self, task_status: TaskStatus[None]) -> None:
+        """Serves the addresses of the manifest in force."""
+        async with anyio.create_task_group() as group:
+            self._generations.subscribe(self._note_version)
+            group.start_soon(self._maintain)
+            task_status.started()
+            while True:
+                self._changed = anyio.Event()
+                if self._version is not None:
+                    self._open_listeners(group, self._version)
+                await self._changed.wait()
+
+    async def drain(self, quiet: float, limit: float) -> None:
+        """Forwards until no packet came for a while.
+
+        Args:
+            quiet: seconds without a packet of a caller that end the wait.
+            limit: seconds after which it ends in any case.
+        """
+        self._peers.draining = True
+        for peer in self._peers.list_peers():
+            self._peers.send(ProbeReply(0, True), peer.address)
+        begun = anyio.current_time()
+        while True:
+            await anyio.sleep(0.1)
+            now = anyio.current_time()
+            used = [listener.used for listener in self._listeners.values()]
+            if now - max(used, default=0.0) > quiet or now - begun > limit:
+                return
+
+    def forward(
+        self,
+        listener: Listener,
+        batch: list[tuple[bytes, Address]],
+        now: float,
+        now_ms: int,
+    ) -> None:
+        """Forwards packets of callers.
+
+        Args:
+            listener: of the address that the packets came to.
+            batch: payloads and callers.
+            now: seconds, monotonic.
+            now_ms: wall clock in milliseconds.
+        """
+        find = listener.cache.find
+        send = self._peers.send_raw
+        listener.used = now
+        for payload, caller in batch:
+            packed = pack_address(caller)
+            route = find(caller)
+            if route is None or route.peer.is_suspected(now):
+                route = self._choose_route(listener, packed, payload, now)
+                if route is None:
+                    continue
+            peer = route.peer
+            peer.note_sent(now)
+            send(route.seal(packed, payload, now_ms), peer.address)
+
+    def explain(
+        self, service_id: str, caller: Address, now: float
+    ) -> dict[str, Any]:
+        """Explains where a packet of a flow would go now, and why.
+
+        Args:
+            service_id: id of the service.
+            caller: address of the caller.
+            now: seconds, monotonic.
+        """
+        for listener in self._listeners.values():
+            if listener.service.id == service_id:
+                return self._explain(listener, caller, now)
+        return {"error": f"service {service_id!r} has no address here"}
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns addresses, cached flows and counts."""
+        addresses = {}
+        for listener in self._listeners.values():
+            addresses[format_address(listener.address)] = {
+                "service": listener.service.id,
+                "retired": listener.retired,
+                "cached_flows": len(listener.cache),
+            }
+        return {"addresses": addresses, "counts": dict(self.counts)}
+
+    def _explain(
+        self, listener: Listener, caller: Address, now: float
+    ) -> dict[str, Any]:
+        version = listener.version
+        service = listener.service
+        flow = make_flow_id(listener.packed, pack_address(caller))
+        candidates = version.tables.find_candidates(service, flow)
+        cached = listener.cache.find(caller)
+        states = {}
+        for name in candidates:
+            peer = self._peers.find(version.manifest.targets[name].agent)
+            states[name] = peer.judge(now).value
+        if cached is not None and not cached.peer.is_suspected(now):
+            chosen, reason = cached.owner, "the owner is known from an answer"
+        else:
+            chosen = self._choose_home(listener, candidates, now)
+            reason = "no owner is known; first candidate that is not suspected"
+        return {
+            "service": service.id,
+            "flow": flow.hex(),
+            "generation": version.manifest.generation,
+            "candidates": list(candidates),
+            "candidate_states": states,
+            "chosen": chosen,
+            "reason": reason,
+        }
+
+    def _note_version(self, version: Version) -> None:
+        self._version = version
+        self._changed.set()
+
+    def _open_listeners(self, group: Any, version: Version) -> None:
+        now = anyio.current_time()
+        wanted = {}
+        for service in version.manifest.services.values():
+            wanted[pack_address(service.address)] = service
+        for packed, listener in self._listeners.items():
+            listener.retired = packed not in wanted
+        for packed, service in wanted.items():
+            listener = self._listeners.get(packed)
+            if listener is not None:
+                listener.service = service
+                listener.version = version
+                listener.home_routes.clear()
+                continue
+            local = self._local_addresses.get(service.address, service.address)
+            try:
+                port = self._open_port(local)
+            except OSError as error:
+                logger.error(
+                    "balancer: Address %s of service %s cannot be bound: %s.",
+                    format_address(local),
+                    service.id,
+                    error.strerror,
+                )
+                self.counts["bind_failed"] += 1
+                continue
+            listener = Listener(port, service, version)
+            listener.used = now
+            self._listeners[packed] = listener
+            group.start_soon(self._serve, listener)
+
+    async def _serve(self, listener: Listener) -> None:
+        with listener.scope:
+            while True:
+                batch = await listener.port.receive()
+                now = anyio.current_time()
+                self.forward(listener, batch, now, read_wall_clock())
+        listener.port.close()
+
+    async def _maintain(self) -> None:
+        while True:
+            await anyio.sleep(MAINTAIN_S)
+            now = anyio.current_time()
+            for packed, listener in list(self._listeners.items()):
+                listener.cache.rotate(now)
+                if listener.retired and now - listener.used > RETIRED_S:
+                    del self._listeners[packed]
+                    listener.scope.cancel()
+
+    def _choose_route(
+        self, listener: Listener, caller: bytes, payload: bytes, now: float
+    ) -> Route | None:
+        """Returns the route of a flow without a usable cached one."""
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            self.counts["oversized"] += 1
+            return None
+        flow = make_flow_id(listener.packed, caller)
+        tables = listener.version.tables
+        candidates = tables.find_candidates(listener.service, flow)
+        home = self._choose_home(listener, candidates, now)
+        key = (home, *candidates)
+        route = listener.home_routes.get(key)
+        if route is None:
+            if len(listener.home_routes) >= _MAX_HOME_ROUTES:
+                listener.home_routes.clear()
+            route = self._make_home_route(listener, home, candidates)
+            listener.home_routes[key] = route
+        return route
+
+    def _choose_home(
+        self, listener: Listener, candidates: tuple[TargetId, ...], now: float
+    ) -> TargetId:
+        targets = listener.version.manifest.targets
+        for name in candidates:
+            peer = self._peers.find(targets[name].agent)
+            if not peer.is_suspected(now):
+                return name
+        return candidates[0]
+
+    def _make_home_route(
+        self,
+        listener: Listener,
+        home: TargetId,
+        candidates: tuple[TargetId, ...],
+    ) -> Route:
+        manifest = listener.version.manifest
+        peer = self._peers.find(manifest.targets[home].agent)
+        forward = Forward(
+            listener.service.id,
+            manifest.generation,
+            listener.packed,
+            list(candidates),
+            0,
+        )
+        encoder = self._peers.codec.make_route(forward, peer.address)
+        return Route(listener.service.id, None, peer, encoder)
+
+    def _learn_owner(
+        self,
+        listener: Listener,
+        service_id: ServiceId,
+        caller: Address,
+        owner: TargetId,
+        agent: Address,
+    ) -> None:
+        """Caches who owns the flow of a caller."""
+        key = (service_id, owner, agent)
+        route = listener.owner_routes.get(key)
+        if route is None:
+            peer = self._peers.find(agent)
+            forward = Forward(
+                service_id,
+                Generation(0),
+                listener.packed,
+                [],
+                0,
+                owner=owner,
+            )
+            encoder = self._peers.codec.make_route(forward, agent)
+            route = Route(service_id, owner, peer, encoder)
+            listener.owner_routes[key] = route
+        if listener.cache.find(caller) is not route:
+            listener.cache.store(caller, route)
+
+    def _handle_answer(self, answer: Any, sender: Address, now: float) -> None:
+        listener = self._listeners.get(answer.address)
+        if listener is None:
+            self.counts["answers_without_address"] += 1
+            return
+        caller = unpack_address(answer.caller)
+        if not listener.port.send(answer.payload, caller):
+            self.counts["answers_unsent"] += 1
+        self._learn_owner(
+            listener, answer.service_id, caller, answer.owner, sender
+        )
+
+    def _handle_hint(self, hint: Any, sender: Address, now: float) -> None:
+        listener = self._listeners.get(hint.address)
+        if listener is None:
+            return
+        agent = unpack_address(hint.owner_agent)
+        caller = unpack_address(hint.caller)
+        self._learn_owner(listener, hint.service_id, caller, hint.owner, agent)
+
+    def _handle_reset(self, reset: Any, sender: Address, now: float) -> None:
+        listener = self._listeners.get(reset.address)
+        if listener is None:
+            return
+        if len(reset.quoted) != 8:
+            raise WireError("handle reset", str(sender), "quote is not 8 bytes")
+        caller = unpack_address(reset.caller)
+        listener.cache.discard(caller)
+        self.counts["resets"] += 1
+        data = make_reset(reset.reason, reset.retry_after, reset.quoted)
+        listener.port.send(data, caller)
--- a/jujuberun/generations.py
+++ b/jujuberun/generations.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import Any
 
+from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
 from jujuberun.errors import ManifestError
@@ -63,6 +64,10 @@
         """The version in force, or None before the first."""
         return self._versions[-1] if self._versions else None
 
+    async def run(self, task_status: TaskStatus[None]) -> None:
+        """Returns at once: the part has state and no task of its own."""
+        task_status.started()
+
     def subscribe(self, listener: Callable[[Version], None]) -> None:
         """Calls the listener at each new version, and now for the current."""
         self._listeners.append(listener)
--- a/jujuberun/jujuberun.thrift
+++ b/jujuberun/jujuberun.thrift
@@ -71,6 +71,14 @@
   3: binary agent
   4: list<FlowRecord> flows
   5: list<binary> gone
+  6: i64 token
+  7: i32 owned                  // flows that the owner holds
+}
+
+// Acknowledges a Register.
+struct RegisterReply {
+  1: i64 token
+  2: i32 owned                  // flows that the answering agent holds
 }
 
 // Tells an agent that a flow is not its own, or a home that the owner gave
@@ -192,6 +200,7 @@
   22: optional ReserveReply reserve_reply
   23: optional Cancel cancel
   24: optional Grant grant
+  25: optional RegisterReply register_reply
   30: optional Fetch fetch
   31: optional Document document
   32: optional Run run
--- a/jujuberun/port.py
+++ b/jujuberun/port.py
@@ -9,6 +9,7 @@
 
 BATCH_PACKETS = 64  # bounds the time that one port keeps the event loop
 RECEIVE_BUFFER_BYTES = 4 << 20
+FLOW_BUFFER_BYTES = 256 << 10
 _MAX_PACKET_BYTES = 65_536
 
 
@@ -62,6 +63,29 @@
             raise
         return cls(sock)
 
+    @classmethod
+    def connect(
+        cls, address: Address, buffer_bytes: int = FLOW_BUFFER_BYTES
+    ) -> "SocketPort":
+        """Opens a UDP socket that hears only one address.
+
+        Args:
+            address: the other side.
+            buffer_bytes: size of the kernel's receive buffer.
+
+        Raises:
+            OSError: no socket can be opened.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        try:
+            sock.connect(address)
+        except OSError:
+            sock.close()
+            raise
+        return cls(sock)
+
     async def receive(self) -> list[tuple[bytes, Address]]:
         """Waits for packets; returns at most BATCH_PACKETS with senders."""
         while True:
--- a/jujuberun/table.py
+++ b/jujuberun/table.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from jujuberun.ids import FlowId, TargetId
+from jujuberun.ids import Address, FlowId, TargetId
 from jujuberun.manifest import Manifest, Service, Target
 
 CANDIDATES = 3
@@ -83,6 +83,9 @@
         """Takes over the tables whose targets did not change."""
         self.manifest = manifest
         self._tables: dict[str, Table] = {}
+        self._services = {
+            service.address: service for service in manifest.services.values()
+        }
         if previous is None:
             return
         for name, table in previous._tables.items():
@@ -94,6 +97,10 @@
             if before == _list_targets(manifest, service):
                 self._tables[name] = table
 
+    def find_service(self, address: Address) -> Service | None:
+        """Returns the service at an address, or None."""
+        return self._services.get(address)
+
     def find_candidates(
         self, service: Service, flow: FlowId
     ) -> tuple[TargetId, ...]:
--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -43,6 +43,7 @@
 Probe = messages.Probe
 ProbeReply = messages.ProbeReply
 Register = messages.Register
+RegisterReply = messages.RegisterReply
 Release = messages.Release
 Reset = messages.Reset
 Status = messages.Status
