--- a/jujuberun/measure_broken.py
+++ b/jujuberun/measure_broken.py
@@ -40,6 +40,7 @@
 BROKEN_AFTER_S = 10.0
 PHASE_S = 7.0
 QUICK_PHASE_S = 2.0
+_CALLER_HOSTS = 16
 DOMAINS = ("dorval-a", "dorval-b", "lachine", "saint-laurent")
 MEAL, LABEL = ServiceId("meal-change"), ServiceId("label")
 
@@ -83,8 +84,10 @@
         """Opens one flow; its start datagram goes out at once."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
-        sock.bind(("127.0.0.1", 0))
-        flow = CallerFlow(len(self.flows), sock, address, expected)
+        number = len(self.flows)
+        # One loopback address has too few ports for callers and agents.
+        sock.bind((f"127.0.4.{1 + number % _CALLER_HOSTS}", 0))
+        flow = CallerFlow(number, sock, address, expected)
         self.flows[sock.fileno()] = flow
         self._poll.register(sock, select.EPOLLIN)
         self._begin(flow, time.monotonic())
