Add logging set-up with a prefix for each part

Cause: parts need one way to log; a flood must not fill the log. Conclusion: text or JSON lines, repeated lines at most every 10 s per key, memory of the limiter bounded to 1000 keys.

--- /dev/null
+++ b/jujuberun/logs.py
@@ -0,0 +1,159 @@
+"""Logging set-up, loggers with a prefix for each part, limited lines."""
+
+import logging
+import sys
+from collections.abc import MutableMapping
+from typing import Any, TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+from jujuberun.settings import LogSettings
+
+ROOT = "jujuberun"
+REPEAT_S = 10.0  # a limited line is written at most once in this time
+# Keys often contain a peer address; an attacker can make up any number.
+MAX_KEYS = 1000
+TEXT_FORMAT = "%(asctime)s %(levelname)s %(message)s"
+JSON_FORMAT = "%(asctime)s %(levelname)s %(part)s %(message)s"
+JSON_NAMES = {"asctime": "time", "levelname": "level"}
+
+# Prefix of each part's lines, and what the part writes about.
+PREFIXES = {
+    "daemon": "Start, settings, graceful stop and what a second signal cut.",
+    "kernel": "Parts that start, stop or fail.",
+    "generations": "Manifests that come into force or are refused.",
+    "source": "Reads and watches of the platform.",
+    "spread": "Manifest and VM list between peers.",
+    "members": "VMs that appear, leave or vanish.",
+    "link": "TCP exchanges with peers.",
+    "balancer": "Forwarding, suspected peers, dropped packets.",
+    "agent": "Flows, owners, draining.",
+    "directory": "Claims, registrations and conflicts of owners.",
+    "flows": "Datagram flows between agent and target.",
+    "streams": "QUIC connections of callers.",
+    "runner": "Requests between agent and target.",
+    "health": "Targets that are suspected or recover.",
+    "placement": "Active targets of a service.",
+    "admission": "Requests that are queued or refused.",
+    "retry": "Retry budgets that are used up.",
+    "dump": "The admin address: state dump and metrics.",
+}
+
+
+class Limiter:
+    """Lets a repeated line through at most once per interval.
+
+    Attributes:
+        interval: seconds between two lines of one key.
+    """
+
+    def __init__(self, interval: float = REPEAT_S) -> None:
+        self.interval = interval
+        self._written: dict[Any, float] = {}
+        self._skipped: dict[Any, int] = {}
+
+    def count(self, key: Any, now: float) -> int | None:
+        """Counts a line and returns how many were left out before it.
+
+        Args:
+            key: what makes two lines the same, for example step and peer.
+            now: seconds, monotonic.
+
+        Returns:
+            Number of lines left out since the last one that was written, or
+            None when this line is to be left out.
+        """
+        last = self._written.get(key)
+        if last is not None and now - last < self.interval:
+            self._skipped[key] = self._skipped.get(key, 0) + 1
+            return None
+        if len(self._written) >= MAX_KEYS:
+            self._forget(now)
+        self._written[key] = now
+        return self._skipped.pop(key, 0)
+
+    def _forget(self, now: float) -> None:
+        self._written = {
+            key: last
+            for key, last in self._written.items()
+            if now - last < self.interval
+        }
+        while len(self._written) >= MAX_KEYS:
+            self._written.pop(next(iter(self._written)))
+        self._skipped = {
+            key: count
+            for key, count in self._skipped.items()
+            if key in self._written
+        }
+
+
+class PartLogger(logging.LoggerAdapter):
+    """Logger of one part; each line begins with the name of the part."""
+
+    def __init__(self, part: str, limiter: Limiter | None = None) -> None:
+        super().__init__(logging.getLogger(f"{ROOT}.{part}"), {})
+        self.part = part
+        self._limiter = limiter or Limiter()
+
+    def process(
+        self, msg: Any, kwargs: MutableMapping[str, Any]
+    ) -> tuple[Any, MutableMapping[str, Any]]:
+        """Adds the prefix to the line and the part to its JSON fields."""
+        extra = {**kwargs.get("extra", {}), "part": self.part}
+        return f"{self.part}: {msg}", {**kwargs, "extra": extra}
+
+    def log_limited(
+        self, level: int, key: Any, now: float, message: str, *args: Any
+    ) -> None:
+        """Writes a line that may come very often, with a count of the rest.
+
+        Args:
+            level: level of the logging module.
+            key: what makes two lines the same.
+            now: seconds, monotonic.
+            message: text with placeholders as the logging module has them.
+            *args: values of the placeholders.
+        """
+        if not self.isEnabledFor(level):
+            return
+        skipped = self._limiter.count(key, now)
+        if skipped is None:
+            return
+        if skipped:
+            message += " (%d more of this kind left out)"
+            args = (*args, skipped)
+        self.log(level, message, *args)
+
+
+def find_logger(part: str) -> PartLogger:
+    """Returns the logger of a part, for example "balancer"."""
+    return PartLogger(part)
+
+
+def set_up_logs(settings: LogSettings, stream: TextIO | None = None) -> None:
+    """Sends the lines of all parts to a stream; replaces an earlier set-up.
+
+    Args:
+        settings: level and format.
+        stream: standard error when it is None.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(_make_formatter(settings.format))
+    logger = logging.getLogger(ROOT)
+    for old in list(logger.handlers):
+        logger.removeHandler(old)
+    logger.addHandler(handler)
+    logger.setLevel(settings.level.upper())
+    logger.propagate = False
+
+
+def _make_formatter(kind: str) -> logging.Formatter:
+    match kind:
+        case "json":
+            return JsonFormatter(
+                JSON_FORMAT,
+                rename_fields=JSON_NAMES,
+                defaults={"part": ""},
+            )
+        case _:
+            return logging.Formatter(TEXT_FORMAT)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,60 @@
+import io
+import json
+import logging
+
+from testtools import TestCase
+
+from jujuberun.logs import MAX_KEYS, Limiter, find_logger, set_up_logs
+from jujuberun.settings import LogSettings
+
+
+class LogsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.stream = io.StringIO()
+        logger = logging.getLogger("jujuberun")
+        saved = logger.handlers[:], logger.level, logger.propagate
+        self.addCleanup(self.restore, logger, saved)
+
+    def restore(self, logger, saved):
+        logger.handlers[:], logger.propagate = saved[0], saved[2]
+        logger.setLevel(saved[1])
+
+    def test_json_line_names_part_level_and_prefix(self):
+        # Guards against JSON lines that cannot be searched by part.
+        set_up_logs(LogSettings("info", "json"), self.stream)
+        find_logger("balancer").warning("peer %s is suspected", "10.0.0.1:7")
+        line = json.loads(self.stream.getvalue())
+        self.assertEqual(
+            "balancer: peer 10.0.0.1:7 is suspected", line["message"]
+        )
+        self.assertEqual(("balancer", "WARNING"), (line["part"], line["level"]))
+
+    def test_second_set_up_replaces_the_first(self):
+        # Guards against every line being written twice.
+        set_up_logs(LogSettings("debug", "text"), io.StringIO())
+        set_up_logs(LogSettings("warning", "text"), self.stream)
+        find_logger("agent").info("left out by level")
+        find_logger("agent").error("written once")
+        lines = self.stream.getvalue().splitlines()
+        self.assertEqual(1, len(lines))
+        self.assertTrue(lines[0].endswith("ERROR agent: written once"))
+
+    def test_limited_line_counts_what_was_left_out(self):
+        # Guards against a log that a flood of bad packets fills.
+        set_up_logs(LogSettings("info", "text"), self.stream)
+        log = find_logger("balancer")
+        for now in (0.0, 1.0, 9.9, 10.0):
+            log.log_limited(logging.WARNING, "mac", now, "bad MAC")
+        lines = self.stream.getvalue().splitlines()
+        self.assertEqual(2, len(lines))
+        self.assertIn("bad MAC (2 more of this kind left out)", lines[1])
+
+    def test_limiter_is_bounded(self):
+        # Guards against memory that grows with made-up peer addresses.
+        limiter = Limiter()
+        for number in range(3 * MAX_KEYS):
+            self.assertEqual(0, limiter.count(number, 1.0))
+            limiter.count(number, 1.0)
+        self.assertTrue(len(limiter._written) <= MAX_KEYS)
+        self.assertTrue(len(limiter._skipped) <= MAX_KEYS)
