--- a/jujuberun/settings.py
+++ b/jujuberun/settings.py
@@ -11,99 +11,38 @@
 
 from jujuberun.errors import SettingsError
 from jujuberun.ids import Address, DomainId, Role, TargetId, VmId
-from jujuberun.manifest import parse_address
-
-MIN_KEY_BYTES = 16
+from jujuberun.manifest import format_address
+from jujuberun.values import (
+    read_address,
+    read_address_map,
+    read_addresses,
+    read_count,
+    read_format,
+    read_keys,
+    read_level,
+    read_name,
+    read_optional_name,
+    read_optional_text,
+    read_role,
+    read_seconds,
+    read_text,
+    read_url,
+    shorten,
+    show,
+    show_key,
+)
+
+MAX_SETTINGS_BYTES = 1_000_000
 _MISSING = object()
 
 
-def _read_text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError("a text in quotes")
-    return value
-
-
-def _read_optional_text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise ValueError("a text in quotes")
-    return value
-
-
-def _read_role(value: Any) -> Role:
-    try:
-        return Role(value)
-    except ValueError:
-        raise ValueError('"balancer" or "agent"') from None
-
-
-def _read_address(value: Any) -> Address:
-    try:
-        host, port = parse_address(_read_text(value))
-        parts = [int(part) for part in host.split(".")]
-    except ValueError:
-        raise ValueError('an address as in "192.0.2.1:7100"') from None
-    if len(parts) != 4 or not all(0 <= part <= 255 for part in parts):
-        raise ValueError('an address as in "192.0.2.1:7100"')
-    if not 0 <= port <= 65_535:
-        raise ValueError("a port from 0 to 65535")
-    return host, port
-
-
-def _read_addresses(value: Any) -> tuple[Address, ...]:
-    if not isinstance(value, list):
-        raise ValueError('a list of addresses as in ["192.0.2.1:7100"]')
-    return tuple(_read_address(entry) for entry in value)
-
-
-def _read_address_map(value: Any) -> dict[Address, Address]:
-    if not isinstance(value, dict):
-        raise ValueError('a table of lines as "192.0.2.1:443" = "10.0.0.1:443"')
-    return {_read_address(k): _read_address(v) for k, v in value.items()}
-
-
-def _read_keys(value: Any) -> tuple[bytes, ...]:
-    remedy = f"a list of one or two keys of {MIN_KEY_BYTES} to 64 bytes in hex"
-    if not isinstance(value, list) or not 1 <= len(value) <= 2:
-        raise ValueError(remedy)
-    try:
-        keys = tuple(bytes.fromhex(entry) for entry in value)
-    except (TypeError, ValueError):
-        raise ValueError(remedy) from None
-    if not all(MIN_KEY_BYTES <= len(key) <= 64 for key in keys):
-        raise ValueError(remedy)
-    return keys
-
-
-def _read_level(value: Any) -> str:
-    if value not in ("debug", "info", "warning", "error"):
-        raise ValueError('"debug", "info", "warning" or "error"')
-    return value
-
-
-def _read_format(value: Any) -> str:
-    if value not in ("text", "json"):
-        raise ValueError('"text" or "json"')
-    return value
-
-
-def _read_seconds(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError("a number of seconds above 0")
-    if not 0 < value <= 86_400 * 7:
-        raise ValueError("a number of seconds above 0")
-    return float(value)
-
-
-def _read_count(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
-        raise ValueError("a whole number from 1")
-    return value
-
-
 def _define(
-    read: Callable[[Any], Any], about: str, default: Any = _MISSING
+    read: Callable[[Any], Any],
+    about: str,
+    default: Any = _MISSING,
+    secret: bool = False,
 ) -> Any:
-    metadata = {"read": read, "about": about}
+    metadata = {"read": read, "about": about, "secret": secret}
     if default is _MISSING:
         return field(metadata=metadata)
     if isinstance(default, dict):
@@ -115,14 +54,12 @@
 class PlatformSettings:
     """Where the manifest and the VM list come from: a URL or two files."""
 
-    url: str = _define(
-        _read_optional_text, "Base URL of the configuration service.", ""
-    )
+    url: str = _define(read_url, "Base URL of the configuration service.", "")
     manifest: str = _define(
-        _read_optional_text, "Manifest file, when there is no URL.", ""
+        read_optional_text, "Manifest file, when there is no URL.", ""
     )
     vms: str = _define(
-        _read_optional_text, "VM list file, when there is no URL.", ""
+        read_optional_text, "VM list file, when there is no URL.", ""
     )
 
 
@@ -131,21 +68,21 @@
     """What only an agent needs."""
 
     target: TargetId = _define(
-        _read_optional_text, "Id of its target in the manifest.", TargetId("")
+        read_optional_name, "Id of its target in the manifest.", TargetId("")
     )
     certificate: str = _define(
-        _read_optional_text, "PEM file with the certificate chain.", ""
+        read_optional_text, "PEM file with the certificate chain.", ""
     )
     private_key: str = _define(
-        _read_optional_text, "PEM file with the private key.", ""
+        read_optional_text, "PEM file with the private key.", ""
     )
     drain_timeout: float = _define(
-        _read_seconds,
+        read_seconds,
         "Seconds that a graceful stop waits for open work at most.",
         3600.0,
     )
     idle_timeout: float = _define(
-        _read_seconds,
+        read_seconds,
         "Seconds until a datagram flow without packets ends.",
         3600.0,
     )
@@ -156,10 +93,10 @@
     """What only a balancer needs."""
 
     cache_flows: int = _define(
-        _read_count, "Flows that the cache holds at most.", 400_000
+        read_count, "Flows that the cache holds at most.", 400_000
     )
     drain_timeout: float = _define(
-        _read_seconds,
+        read_seconds,
         "Seconds that a graceful stop goes on forwarding.",
         2.0,
     )
@@ -169,33 +106,35 @@
 class LogSettings:
     """How the process logs."""
 
-    level: str = _define(_read_level, "Least level that is logged.", "info")
-    format: str = _define(_read_format, "Lines of text or of JSON.", "text")
+    level: str = _define(read_level, "Least level that is logged.", "info")
+    format: str = _define(read_format, "Lines of text or of JSON.", "text")
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
     """Settings of one daemon."""
 
-    role: Role = _define(_read_role, "What the daemon does.")
-    vm: VmId = _define(_read_text, "Id of its VM in the platform's list.")
-    domain: DomainId = _define(_read_text, "Failure domain of its VM.")
+    role: Role = _define(read_role, "What the daemon does.")
+    vm: VmId = _define(read_text, "Id of its VM in the platform's list.")
+    domain: DomainId = _define(read_name, "Failure domain of its VM.")
     peer: Address = _define(
-        _read_address, "Address for messages of other daemons, UDP and TCP."
+        read_address, "Address for messages of other daemons, UDP and TCP."
     )
     keys: tuple[bytes, ...] = _define(
-        _read_keys, "Keys of the MAC in hex; the first signs, all verify."
+        read_keys,
+        "Keys of the MAC in hex; the first signs, all verify.",
+        secret=True,
     )
     admin: Address = _define(
-        _read_address,
+        read_address,
         "Address of the state dump and the metrics, HTTP.",
         ("127.0.0.1", 0),
     )
     seeds: tuple[Address, ...] = _define(
-        _read_addresses, "Peers to ask first, while no VM list is known.", ()
+        read_addresses, "Peers to ask first, while no VM list is known.", ()
     )
     addresses: dict[Address, Address] = _define(
-        _read_address_map,
+        read_address_map,
         "Local address to bind in place of a service's address.",
         {},
     )
@@ -205,6 +144,50 @@
     log: LogSettings = field(default_factory=LogSettings)
 
 
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One line of the settings reference.
+
+    Attributes:
+        key: with its table, as in "agent.target".
+        default: as the file has it, empty when the key is required.
+        about: what it means.
+    """
+
+    key: str
+    default: str
+    about: str
+
+
+def list_entries(kind: type = Settings, prefix: str = "") -> tuple[Entry, ...]:
+    """Returns every key with its default and meaning, in file order."""
+    entries: list[Entry] = []
+    for item in dataclasses.fields(kind):
+        if "read" not in item.metadata:
+            entries += list_entries(item.type, f"{prefix}{item.name}.")
+            continue
+        key = prefix + item.name
+        default = _format_default(item)
+        entries.append(Entry(key, default, item.metadata["about"]))
+    return tuple(entries)
+
+
+def _format_default(item: dataclasses.Field) -> str:
+    if item.default_factory is not dataclasses.MISSING:
+        return "{}"
+    match item.default:
+        case dataclasses.MISSING:
+            return ""
+        case (str() as host, int() as port):
+            return f'"{host}:{port}"'
+        case tuple():
+            return "[]"
+        case str() as text:
+            return f'"{text}"'
+        case number:
+            return str(number)
+
+
 def load_settings(path: Path) -> Result[Settings, SettingsError]:
     """Reads and checks a settings file.
 
@@ -215,29 +198,73 @@
         Ok with the settings, or Err naming file, key and remedy in one line.
     """
     try:
-        data = tomllib.loads(path.read_text(encoding="utf-8"))
+        text = _read_file(path)
+        data = tomllib.loads(text)
+    except _KeyError as problem:
+        return _refuse(path, problem.key, problem.remedy)
     except OSError as error:
         return _refuse(path, "file", f"cannot be read ({error.strerror})")
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        return _refuse(path, "file", f"is not TOML: {error}")
+    except RecursionError:
+        return _refuse(path, "file", "is nested too deeply; use plain tables")
+    except ValueError as error:
+        # TOML and UTF-8 errors, and whole numbers of thousands of digits.
+        return _refuse(path, "file", f"is not TOML: {shorten(str(error))}")
+    return parse_settings(data, path)
+
+
+def parse_settings(
+    data: dict[str, Any], path: Path
+) -> Result[Settings, SettingsError]:
+    """Checks settings that are already parsed.
+
+    Args:
+        data: tables of the TOML file.
+        path: where they come from, for the error.
+    """
     try:
         settings = _build(Settings, data, "")
+        _check_together(settings)
     except _KeyError as problem:
         return _refuse(path, problem.key, problem.remedy)
-    return _check_together(path, settings)
+    return Ok(settings)
 
 
-def _check_together(
-    path: Path, settings: Settings
-) -> Result[Settings, SettingsError]:
-    platform = settings.platform
+def _read_file(path: Path) -> str:
+    with path.open("rb") as file:
+        data = file.read(MAX_SETTINGS_BYTES + 1)
+    if len(data) > MAX_SETTINGS_BYTES:
+        raise _KeyError("file", f"has more than {MAX_SETTINGS_BYTES} bytes")
+    return data.decode("utf-8")
+
+
+def _check_together(settings: Settings) -> None:
+    platform, agent = settings.platform, settings.agent
     if not platform.url and not platform.manifest:
-        return _refuse(path, "platform", "needs url or manifest")
+        raise _KeyError("platform", "needs url or manifest")
     if platform.url and (platform.manifest or platform.vms):
-        return _refuse(path, "platform", "takes either url or files, not both")
-    if settings.role is Role.AGENT and not settings.agent.target:
-        return _refuse(path, "agent.target", "is missing; name its target")
-    return Ok(settings)
+        raise _KeyError("platform", "takes either url or files, not both")
+    if settings.role is Role.AGENT and not agent.target:
+        raise _KeyError("agent.target", "is missing; name its target")
+    if agent.certificate and not agent.private_key:
+        raise _KeyError("agent.private_key", "is missing; name its file")
+    if agent.private_key and not agent.certificate:
+        raise _KeyError("agent.certificate", "is missing; name its file")
+    if settings.admin[1] and settings.admin == settings.peer:
+        raise _KeyError("admin", "is equal to peer; use another port")
+    _check_local_addresses(settings)
+
+
+def _check_local_addresses(settings: Settings) -> None:
+    taken: dict[Address, Address] = {}
+    for address, local in settings.addresses.items():
+        key = f"addresses.{format_address(address)}"
+        if local in taken:
+            other = format_address(taken[local])
+            raise _KeyError(key, f"is the local address of {other} already")
+        if local == settings.peer and local[1]:
+            raise _KeyError(key, "is equal to peer; use another port")
+        if local[1]:
+            taken[local] = address
 
 
 class _KeyError(Exception):
@@ -254,7 +281,9 @@
     for key in data:
         if key not in fields:
             known = ", ".join(sorted(fields))
-            raise _KeyError(prefix + key, f"is unknown; known: {known}")
+            raise _KeyError(
+                prefix + show_key(key), f"is unknown; known: {known}"
+            )
     values = {}
     for name, entry in fields.items():
         key = prefix + name
@@ -273,7 +302,8 @@
         try:
             values[name] = read(data[name])
         except ValueError as error:
-            raise _KeyError(key, f"is {data[name]!r}; use {error}") from error
+            shown = show(data[name], entry.metadata["secret"])
+            raise _KeyError(key, f"is {shown}; use {error}") from error
     return kind(**values)
 
 
