Compile the manifest schema and refuse NaN, floats as numbers, UTF-16

Cause: NaN passed as headroom, 1.0 passed as generation (a float on the wire and another digest than 1), UTF-16 passed as UTF-8, -0.0 had another digest than 0.0, and a malformed file kept the event loop busy for seconds, which peers see as a silent process.

--- a/jujuberun/manifest.py
+++ b/jujuberun/manifest.py
@@ -7,7 +7,6 @@
 from importlib import resources
 from typing import Any
 
-import jsonschema
 from result import Err, Ok, Result
 
 from jujuberun.errors import ManifestError
@@ -20,9 +19,11 @@
     TargetId,
     Urgency,
 )
+from jujuberun.schema import Problem, compile_schema
 
 MAX_MANIFEST_BYTES = 1_000_000
 _STEP = "check manifest"
+_SHOWN_CHARACTERS = 60  # of a wrong value in an error
 
 
 class FirstPacketRule(Enum):
@@ -167,16 +168,23 @@
     if len(data) > MAX_MANIFEST_BYTES:
         return _refuse("file", f"{len(data)} bytes", "at most 1,000,000 bytes")
     try:
-        document = json.loads(data, object_pairs_hook=_build_object)
-    except (ValueError, RecursionError) as error:
-        return _refuse("file", "text", f"one JSON object ({error})")
-    checker = jsonschema.Draft202012Validator(_SCHEMA)
-    failure = jsonschema.exceptions.best_match(checker.iter_errors(document))
-    if failure is not None:
-        return _refuse_by_schema(failure)
-    problem = _find_problem(document)
+        # A text without a byte order mark: json.loads would take UTF-16 too.
+        text = data.decode("utf-8")
+        document = json.loads(
+            text,
+            object_pairs_hook=_build_object,
+            parse_constant=_refuse_constant,
+        )
+    except RecursionError:
+        return _refuse("file", "nested too deeply", "one JSON object")
+    except ValueError as error:
+        return _refuse("file", "not JSON", f"one JSON object ({error})")
+    problem = _CHECK(document)
     if problem is not None:
-        return Err(problem)
+        return _refuse_by_schema(problem)
+    refusal = _find_problem(document)
+    if refusal is not None:
+        return Err(refusal)
     return Ok(_build_manifest(document))
 
 
@@ -192,28 +200,46 @@
 
 def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     keys = dict(pairs)
-    if len(keys) != len(pairs):
-        names = [name for name, _ in pairs]
-        double = next(name for name in names if names.count(name) > 1)
-        raise ValueError(f"key {double!r} stands twice in one object")
+    if len(keys) == len(pairs):
+        return keys
+    seen: set[str] = set()
+    for name, _ in pairs:
+        if name in seen:
+            shown = _show(name)
+            raise ValueError(f"key {shown} stands twice in one object")
+        seen.add(name)
     return keys
 
 
+def _refuse_constant(name: str) -> None:
+    # Not JSON, and NaN would pass every comparison with a bound.
+    raise ValueError(f"{name} is not a number")
+
+
 def _refuse(key: str, value: str, allowed: str) -> Err[ManifestError]:
     return Err(ManifestError(_STEP, key, f"is {value}; allowed: {allowed}"))
 
 
-def _refuse_by_schema(
-    failure: jsonschema.ValidationError,
-) -> Err[ManifestError]:
-    path = ".".join(str(part) for part in failure.absolute_path) or "manifest"
-    value = json.dumps(failure.instance)
-    if len(value) > 60:
-        value = value[:57] + "..."
-    allowed = failure.schema.get("description", failure.message)
-    if failure.validator in ("additionalProperties", "required"):
-        allowed = failure.message
-    return _refuse(path, value, allowed)
+def _refuse_by_schema(problem: Problem) -> Err[ManifestError]:
+    path = ".".join(_show_key(part) for part in problem.path) or "manifest"
+    value = "missing" if problem.missing else _show(problem.value)
+    return _refuse(path, value, problem.allowed)
+
+
+def _show_key(part: str | int) -> str:
+    text = str(part)
+    plain = text.isascii() and text.isprintable()
+    return text if plain and len(text) <= _SHOWN_CHARACTERS else _show(text)
+
+
+def _show(value: Any) -> str:
+    try:
+        text = json.dumps(value)
+    except RecursionError:
+        return "nested too deeply"
+    if len(text) <= _SHOWN_CHARACTERS:
+        return text
+    return text[: _SHOWN_CHARACTERS - 3] + "..."
 
 
 def _find_problem(document: dict[str, Any]) -> ManifestError | None:
@@ -266,7 +292,8 @@
         id=ServiceId(entry["id"]),
         address=parse_address(entry["address"]),
         urgency=Urgency[entry["urgency"].upper()],
-        headroom=float(entry["headroom"]),
+        # -0.0 equals 0.0 but has another text, and so another digest.
+        headroom=abs(float(entry["headroom"])),
         protocol=Protocol(entry["protocol"]),
         first_packet=FirstPacket.from_config(entry["first_packet"]),
         targets=tuple(TargetId(name) for name in entry["targets"]),
@@ -311,4 +338,4 @@
     }
 
 
-_SCHEMA = load_schema()
+_CHECK = compile_schema(load_schema())
