--- a/jujuberun/dump.py
+++ b/jujuberun/dump.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import parse_qsl
 
 import anyio
 import h11
@@ -105,12 +105,12 @@
             target: path and query as the request line has them.
         """
         now = self._clock()
-        parts = urlsplit(target)
-        match parts.path:
+        path, _, query = target.partition("?")
+        match path:
             case "/state":
                 return Reply.from_json(200, collect_state(self._kernel, now))
             case "/explain":
-                return self._explain(dict(parse_qsl(parts.query)), now)
+                return self._explain(dict(parse_qsl(query)), now)
             case "/metrics":
                 metrics = self._kernel.find("metrics")
                 return Reply(200, _TEXT, metrics.render())
--- a/jujuberun/kernel.py
+++ b/jujuberun/kernel.py
@@ -29,7 +29,9 @@
 
     def __init__(self) -> None:
         self._parts: dict[str, Part] = {}
-        self._scope = anyio.CancelScope()
+        # A scope needs a running event loop, which the daemon starts later.
+        self._scope: anyio.CancelScope | None = None
+        self._stopped = False
 
     def register(self, part: Part) -> None:
         """Adds a part.
@@ -60,7 +62,10 @@
         self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Starts the parts in order and runs them until stop() is called."""
-        with self._scope:
+        if self._stopped:
+            task_status.started()
+            return
+        with anyio.CancelScope() as self._scope:
             async with anyio.create_task_group() as group:
                 for part in self._parts.values():
                     await group.start(part.run)
@@ -68,8 +73,10 @@
                 await anyio.sleep_forever()
 
     def stop(self) -> None:
-        """Cancels all parts."""
-        self._scope.cancel()
+        """Cancels all parts; run() then returns, also when it starts later."""
+        self._stopped = True
+        if self._scope is not None:
+            self._scope.cancel()
 
     def dump_state(self, now: float) -> dict[str, Any]:
         """Returns the state of all parts by name, as JSON types."""
