--- /dev/null
+++ b/jujuberun/events.py
@@ -0,0 +1,182 @@
+"""Events that the parts count, with what each means to an operator."""
+
+from dataclasses import dataclass
+
+EXPECTED = "Nothing; a basis for comparison."
+FAULT = "Report a fault, with the state dump and the log."
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of event.
+
+    Attributes:
+        part: name of the part that counts it.
+        name: key in the part's counts; a final "*" stands for any ending.
+        about: what happened.
+        action: what an operator does when it rises.
+    """
+
+    part: str
+    name: str
+    about: str
+    action: str
+
+
+EVENTS = (
+    Event(
+        "balancer",
+        "answers_unsent",
+        "The kernel had no room for a response to a caller.",
+        "The VM's network is overloaded: add balancers.",
+    ),
+    Event(
+        "balancer",
+        "answers_without_address",
+        "A response came for a service address that is not served here.",
+        "Expected for seconds after an address is removed.",
+    ),
+    Event(
+        "balancer",
+        "bind_failed",
+        "A service address could not be bound.",
+        "Read the log; give the VM the address or map it in [addresses].",
+    ),
+    Event(
+        "balancer",
+        "oversized",
+        "A datagram of a caller was too large to forward.",
+        "Find the caller; datagrams above 60,000 bytes are not forwarded.",
+    ),
+    Event(
+        "balancer",
+        "resets",
+        "A reset was sent to a caller.",
+        "Compare with the resets of the agents, which have the reason.",
+    ),
+    Event(
+        "agent",
+        "conflicts",
+        "A flow had two owners; one gave it up.",
+        "Expected after a partition; otherwise report a fault.",
+    ),
+    Event(
+        "agent",
+        "dropped_unsettled",
+        "A packet was dropped while the owner of its flow was sought.",
+        "Expected for 3 s after a start or a pause.",
+    ),
+    Event(
+        "agent",
+        "dropped_young",
+        "A packet overtook the registration of its flow and was dropped.",
+        EXPECTED,
+    ),
+    Event("agent", "flows_created", "A flow began here.", EXPECTED),
+    Event(
+        "agent",
+        "flows_failed",
+        "A flow could not be opened towards the target.",
+        "Check the target and the limit of descriptors.",
+    ),
+    Event(
+        "agent",
+        "handed_on",
+        "A packet was sent on to another agent.",
+        "High for minutes: balancers do not learn owners.",
+    ),
+    Event(
+        "agent",
+        "hops",
+        "A packet was dropped after 4 agents.",
+        "Expected for seconds after a change; otherwise report a fault.",
+    ),
+    Event(
+        "agent",
+        "loop",
+        "A packet came back to an agent that it had passed.",
+        "Expected for seconds after a change; otherwise report a fault.",
+    ),
+    Event(
+        "agent",
+        "malformed",
+        "A forwarded packet had an address of a wrong length.",
+        FAULT,
+    ),
+    Event(
+        "agent",
+        "no_service",
+        "A packet came for a service that the manifest here does not have.",
+        "Compare generations; one process may be cut off.",
+    ),
+    Event(
+        "agent",
+        "other_service",
+        "A caller used the address of a flow for another service.",
+        "Expected after an address moved to another service.",
+    ),
+    Event(
+        "agent",
+        "released",
+        "A flow was given up to another owner.",
+        "Expected after a partition; otherwise report a fault.",
+    ),
+    Event(
+        "agent",
+        "reset_*",
+        "A flow was reset; the ending is the reason that the caller reads.",
+        "unknown-flow: flows of an agent that failed; no-owner, no-service: "
+        "compare generations; overloaded: add targets.",
+    ),
+    Event("link", "called", "A TCP call to a peer was answered.", EXPECTED),
+    Event("link", "served", "A TCP call of a peer was served.", EXPECTED),
+    Event("link", "no-handler", "A peer asked for an unknown thing.", FAULT),
+    Event("link", "handler-failed", "A part failed to answer a peer.", FAULT),
+    Event(
+        "link",
+        "slow-reader",
+        "A peer read too slowly and was cut off.",
+        "Check the network to this peer.",
+    ),
+    Event(
+        "link",
+        "too-many-connections",
+        "A TCP connection of a peer was refused.",
+        "Expected after a large outage; otherwise report a fault.",
+    ),
+    Event("spread", "sent", "A status message was sent to a peer.", EXPECTED),
+    Event("spread", "received", "A status message of a peer came.", EXPECTED),
+    Event("spread", "pushes", "News was pushed to a peer.", EXPECTED),
+    Event("spread", "fetches", "A document was fetched.", EXPECTED),
+    Event(
+        "spread",
+        "failed-fetches",
+        "A document could not be fetched from a peer.",
+        "Check TCP between the peer addresses.",
+    ),
+    Event("spread", "history", "An earlier manifest was fetched.", EXPECTED),
+    Event("spread", "malformed", "A status message was malformed.", FAULT),
+    Event(
+        "spread",
+        "refused",
+        "A document of a peer was refused.",
+        "Read the reason in the state dump; publish a higher generation.",
+    ),
+    Event(
+        "spread",
+        "pauses",
+        "The process stood still for more than 1 s.",
+        "The VM was paused or is short of CPU; move it.",
+    ),
+)
+
+
+def find_event(part: str, name: str) -> Event | None:
+    """Returns the line of an event that a part counted, or None."""
+    for event in EVENTS:
+        if event.part != part:
+            continue
+        stem = event.name.removesuffix("*")
+        if name == event.name or (stem != event.name and name.startswith(stem)):
+            return event
+    return None
--- a/jujuberun/logs.py
+++ b/jujuberun/logs.py
@@ -87,6 +87,15 @@
         }
 
 
+class _PartFilter(logging.Filter):
+    """Names the part of records that a plain module logger wrote."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if not hasattr(record, "part"):
+            record.part = record.name.rpartition(".")[2]
+        return True
+
+
 class PartLogger(logging.LoggerAdapter):
     """Logger of one part; each line begins with the name of the part."""
 
@@ -139,6 +148,7 @@
     """
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(_make_formatter(settings.format))
+    handler.addFilter(_PartFilter())
     logger = logging.getLogger(ROOT)
     for old in list(logger.handlers):
         logger.removeHandler(old)
@@ -150,10 +160,6 @@
 def _make_formatter(kind: str) -> logging.Formatter:
     match kind:
         case "json":
-            return JsonFormatter(
-                JSON_FORMAT,
-                rename_fields=JSON_NAMES,
-                defaults={"part": ""},
-            )
+            return JsonFormatter(JSON_FORMAT, rename_fields=JSON_NAMES)
         case _:
             return logging.Formatter(TEXT_FORMAT)
--- /dev/null
+++ b/jujuberun/readings.py
@@ -0,0 +1,314 @@
+"""Table of the metrics: where each is read, and what it means."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from jujuberun.events import EXPECTED
+
+PREFIX = "jujuberun_"
+EVENTS_METRIC = "part_events_total"
+State = Mapping[str, Any]
+Reading = float | Mapping[str, float] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """One line of the table of metrics.
+
+    Attributes:
+        name: name without the prefix; counters end in _total.
+        unit: unit of its value.
+        labels: names of its labels, joined by a comma.
+        about: what it tells.
+        action: what an operator does when it moves.
+        part: part whose state has it, empty for the process itself.
+        read: picks it out of the part's state; None leaves it out.
+    """
+
+    name: str
+    unit: str
+    labels: str
+    about: str
+    action: str
+    part: str = ""
+    read: Callable[[State], Reading] = lambda state: None
+
+    @property
+    def kind(self) -> str:
+        """Type of the metric."""
+        return "counter" if self.name.endswith("_total") else "gauge"
+
+
+def _pick(*path: str) -> Callable[[State], Any]:
+    def read(state: State) -> Any:
+        value: Any = state
+        for key in path:
+            value = value[key]
+        return value
+
+    return read
+
+
+def _count_states(state: State) -> Reading:
+    return Counter(peer["state"] for peer in state["absent"].values())
+
+
+def _read_cached_flows(state: State) -> Reading:
+    flows: Counter[str] = Counter()
+    for listener in state["addresses"].values():
+        flows[listener["service"]] += listener["cached_flows"]
+    return flows
+
+
+STATE_METRICS = (
+    Metric(
+        "generation",
+        "generation",
+        "",
+        "Generation of the manifest in force.",
+        "It must be equal on all processes 5 s after a publication.",
+        "generations",
+        _pick("generation"),
+    ),
+    Metric(
+        "generation_age_seconds",
+        "seconds",
+        "",
+        "Time since this manifest came into force here.",
+        "Nothing; it tells when the last change arrived.",
+        "generations",
+        _pick("in_force_for_s"),
+    ),
+    Metric(
+        "known_peers",
+        "peers",
+        "",
+        "Peers that this process has exchanged messages with.",
+        EXPECTED,
+        "peers",
+        _pick("known"),
+    ),
+    Metric(
+        "absent_peers",
+        "peers",
+        "state",
+        "Peers that are draining, suspected or gone.",
+        "Read the evidence with jujuberun state. More than a third of the "
+        "known peers: this VM is likely cut off itself.",
+        "peers",
+        _count_states,
+    ),
+    Metric(
+        "refused_messages_total",
+        "messages",
+        "reason",
+        "Messages of peers that were refused before they were used.",
+        "mac: compare the keys. stale: compare the clocks. replay, truncated, "
+        "malformed: a faulty network or a forger. unhandled, incomplete: "
+        "compare versions.",
+        "peers",
+        _pick("refused_messages"),
+    ),
+    Metric(
+        "cached_flows",
+        "flows",
+        "service",
+        "Flows in the cache of a balancer.",
+        "Close to balancer.cache_flows: raise it or add balancers.",
+        "balancer",
+        _read_cached_flows,
+    ),
+    Metric(
+        "open_flows",
+        "flows",
+        "service",
+        "Flows that an agent owns.",
+        "Close to connection_limit: add targets.",
+        "agent",
+        _pick("flows"),
+    ),
+    Metric(
+        "open_requests",
+        "requests",
+        "",
+        "Requests in progress at an agent.",
+        "Equal to the slots for minutes: add targets.",
+        "agent",
+        _pick("open_requests"),
+    ),
+    Metric(
+        "directory_flows",
+        "flows",
+        "",
+        "Entries in the directory of an agent.",
+        "Zero while others own flows of its services: report a fault.",
+        "agent",
+        _pick("directory", "entries"),
+    ),
+    Metric(
+        "unacknowledged_registrations",
+        "messages",
+        "",
+        "Registrations that homes have not confirmed.",
+        "Above 0 for minutes: a home is cut off; compare absent peers.",
+        "agent",
+        _pick("registrar", "unacknowledged_messages"),
+    ),
+    Metric(
+        "unsettled",
+        "0 or 1",
+        "",
+        "1 while an agent rebuilds its state after a start or a pause.",
+        "1 for more than 10 s: the VM stands still again and again.",
+        "agent",
+        _pick("unsettled"),
+    ),
+    Metric(
+        "draining",
+        "0 or 1",
+        "",
+        "1 while a graceful stop waits for open work.",
+        "Nothing; open work shows in open_flows.",
+        "agent",
+        _pick("draining"),
+    ),
+    Metric(
+        "slots",
+        "slots",
+        "",
+        "Slots of the target beside an agent.",
+        EXPECTED,
+        "runner",
+        _pick("slots"),
+    ),
+    Metric(
+        "busy_slots",
+        "slots",
+        "",
+        "Slots that run a request.",
+        "Equal to slots for minutes: add targets.",
+        "runner",
+        _pick("running"),
+    ),
+    Metric(
+        "waiting_requests",
+        "requests",
+        "",
+        "Requests that wait for a slot.",
+        "Above 0 for minutes: add targets.",
+        "runner",
+        _pick("waiting"),
+    ),
+    Metric(
+        "requests_total",
+        "requests",
+        "outcome",
+        "Requests by the outcome that the caller was told.",
+        "not-run: too little capacity. unknown: the target failed during "
+        "requests; check it.",
+        "runner",
+        _pick("outcomes"),
+    ),
+    Metric(
+        "known_vms",
+        "VMs",
+        "",
+        "VMs in the platform's list.",
+        "Compare with what was ordered.",
+        "members",
+        _pick("vms"),
+    ),
+    Metric(
+        "vm_list_age_seconds",
+        "seconds",
+        "",
+        "Time since this VM list arrived.",
+        "Older than the last change of VMs: check the platform.",
+        "members",
+        _pick("held_for_s"),
+    ),
+    Metric(
+        "link_sent_bytes_total",
+        "bytes",
+        "",
+        "Bytes sent to peers over TCP.",
+        "Above 5 kB/s for minutes without requests: report a fault.",
+        "link",
+        _pick("sent_bytes"),
+    ),
+    Metric(
+        "link_received_bytes_total",
+        "bytes",
+        "",
+        "Bytes received from peers over TCP.",
+        "Above 5 kB/s for minutes without requests: report a fault.",
+        "link",
+        _pick("received_bytes"),
+    ),
+)
+
+OWN_METRICS = (
+    Metric(
+        EVENTS_METRIC,
+        "events",
+        "part,event",
+        "Events that the parts count; see the table of events.",
+        "See the table of events.",
+    ),
+    Metric(
+        "state_errors_total",
+        "errors",
+        "",
+        "Metrics that could not be read from the state of a part.",
+        "Report a fault; the other metrics are right.",
+    ),
+    Metric(
+        "process_cpu_seconds_total",
+        "seconds",
+        "",
+        "CPU time of the process.",
+        "Above 0.8 a second on a balancer: add balancers.",
+    ),
+    Metric(
+        "process_resident_memory_bytes",
+        "bytes",
+        "",
+        "Resident memory of the process.",
+        "Grows without more flows: report a fault.",
+    ),
+    Metric(
+        "process_virtual_memory_bytes",
+        "bytes",
+        "",
+        "Virtual memory of the process.",
+        EXPECTED,
+    ),
+    Metric(
+        "process_start_time_seconds",
+        "seconds",
+        "",
+        "Start of the process since 1970.",
+        "A change without a planned restart: read the log.",
+    ),
+    Metric(
+        "process_open_fds",
+        "descriptors",
+        "",
+        "Open file descriptors.",
+        "Close to process_max_fds: raise the limit of the service manager.",
+    ),
+    Metric(
+        "process_max_fds",
+        "descriptors",
+        "",
+        "Limit of open file descriptors.",
+        EXPECTED,
+    ),
+)
+
+
+def list_metrics() -> tuple[Metric, ...]:
+    """Returns the table of every metric, in the order of the page."""
+    return (*STATE_METRICS, *OWN_METRICS)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -30,6 +30,12 @@
         )
         self.assertEqual(("balancer", "WARNING"), (line["part"], line["level"]))
 
+    def test_plain_logger_of_a_module_has_a_part(self):
+        # Guards against JSON lines without a part, or that raise.
+        set_up_logs(LogSettings("info", "json"), self.stream)
+        logging.getLogger("jujuberun.spread").info("spread: paused")
+        self.assertEqual("spread", json.loads(self.stream.getvalue())["part"])
+
     def test_second_set_up_replaces_the_first(self):
         # Guards against every line being written twice.
         set_up_logs(LogSettings("debug", "text"), io.StringIO())
