--- a/jujuberun/measure.py
+++ b/jujuberun/measure.py
@@ -80,3 +80,17 @@
 
 
 Measurement = Callable[[Options], Report]
+
+# Name of each measurement, and the function that runs it; imported when it
+# runs, because some need optional packages.
+MEASUREMENTS: dict[str, str] = {
+    "broken-flows": "jujuberun.measure_broken:measure",
+    "imbalance": "jujuberun.measure_imbalance:measure",
+    "flood": "jujuberun.measure_flood:measure",
+    "headroom": "jujuberun.measure_headroom:measure",
+    "retries": "jujuberun.measure_retries:measure",
+    "forwarding": "jujuberun.measure_forwarding:measure",
+    "control-cost": "jujuberun.measure_control:measure",
+    "memory": "jujuberun.measure_memory:measure",
+    "requests": "jujuberun.measure_requests:measure",
+}
