--- a/jujuberun/cli.py
+++ b/jujuberun/cli.py
@@ -44,7 +44,7 @@
     for stream in (sys.stdout, sys.stderr):
         if hasattr(stream, "reconfigure"):
             stream.reconfigure(errors="backslashreplace")
-    options = _make_parser().parse_args(arguments)
+    options = make_parser().parse_args(arguments)
     try:
         status = options.run(options)
         sys.stdout.flush()
@@ -195,7 +195,8 @@
 # Parsers of the subcommands.
 
 
-def _make_parser() -> argparse.ArgumentParser:
+def make_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the whole command line."""
     parser = Parser(
         prog="jujuberun",
         description="Checks, inspects, calls and measures jujuberun.",
--- a/jujuberun/logs.py
+++ b/jujuberun/logs.py
@@ -19,24 +19,21 @@
 
 # Prefix of each part's lines, and what the part writes about.
 PREFIXES = {
-    "daemon": "Start, settings, graceful stop and what a second signal cut.",
-    "kernel": "Parts that start, stop or fail.",
+    "daemon": "Start, graceful stop, and what a second signal cut.",
+    "balancer": "Service addresses that cannot be bound.",
+    "agent": "Flows that fail, and conflicts of owners.",
+    "peers": "Messages between daemons; peers that are suspected or gone.",
     "generations": "Manifests that come into force or are refused.",
-    "source": "Reads and watches of the platform.",
-    "spread": "Manifest and VM list between peers.",
-    "members": "VMs that appear, leave or vanish.",
+    "source": "Reads of the platform.",
+    "watch": "Watches of the platform.",
+    "spread": "Manifest and VM list between peers; pauses.",
+    "members": "VM lists that are refused.",
     "link": "TCP exchanges with peers.",
-    "balancer": "Forwarding, suspected peers, dropped packets.",
-    "agent": "Flows, owners, draining.",
-    "directory": "Claims, registrations and conflicts of owners.",
-    "flows": "Datagram flows between agent and target.",
     "streams": "QUIC connections of callers.",
     "runner": "Requests between agent and target.",
-    "health": "Targets that are suspected or recover.",
-    "placement": "Active targets of a service.",
-    "admission": "Requests that are queued or refused.",
-    "retry": "Retry budgets that are used up.",
-    "dump": "The admin address: state dump and metrics.",
+    "offload": "Requests that agents pass to idle agents.",
+    "caller": "The caller library.",
+    "dump": "The admin address.",
 }
 
 
--- a/jujuberun/readings.py
+++ b/jujuberun/readings.py
@@ -79,7 +79,7 @@
         "Time since this manifest came into force here.",
         "Nothing; it tells when the last change arrived.",
         "generations",
-        _pick("in_force_for_s"),
+        lambda state: state.get("in_force_for_s"),
     ),
     Metric(
         "known_peers",
--- a/jujuberun/texts.py
+++ b/jujuberun/texts.py
@@ -112,6 +112,9 @@
 def _write_peers(part: Mapping[str, Any]) -> Iterator[str]:
     absent = part.get("absent") or {}
     known = part.get("known", 0)
+    if not known:
+        yield "peers: none known"
+        return
     if not absent:
         yield f"peers: {known} known, all of them alive"
         return
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,9 +1,15 @@
+from pathlib import Path
+
+import anyio
 from prometheus_client.parser import text_string_to_metric_families
+from test_settings import good_document
 from testtools import TestCase
 
+from jujuberun.daemon import build_kernel
 from jujuberun.kernel import Kernel
 from jujuberun.metrics import MAX_LABEL_VALUES, Metrics
 from jujuberun.readings import PREFIX, list_metrics
+from jujuberun.settings import parse_settings
 
 STATES = {
     "generations": {"generation": 4, "in_force_for_s": 2.5, "refused": []},
@@ -105,6 +111,26 @@
         }.items():
             self.assertEqual(values, read_samples(found, name), name)
 
+    def test_real_parts(self):
+        # Guards against a part that names a field of its state anew.
+        for role, names in (
+            ("balancer", {"known_peers", "cached_flows"}),
+            ("agent", {"open_flows", "directory_flows", "unsettled"}),
+        ):
+            document = {**good_document, "role": role, "peer": "127.0.0.1:0"}
+            document["platform"] = {"manifest": "none.json"}
+            kernel = self.build(parse_settings(document, Path("x")).unwrap())
+            metrics = Metrics(kernel)
+            found = scrape(metrics)
+            self.assertEqual({(): 0}, read_samples(found, "state_errors"))
+            self.assertEqual(set(), {PREFIX + n for n in names} - set(found))
+
+    def build(self, settings):
+        async def run():
+            return build_kernel(settings)
+
+        return anyio.run(run)
+
     def test_no_manifest_yet(self):
         # Guards against generation 0 before there is one.
         metrics = make_metrics({"generations": {"generation": None}})
