--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -19,12 +19,12 @@
 
 from jujuberun.errors import WireError
 from jujuberun.ids import Address, FlowId
+from jujuberun.window import ReplayWindow
 
 MAC_BYTES = 16
 MAX_DATAGRAM_BYTES = 65_000
 MAX_PAYLOAD_BYTES = 60_000
 FRESH_MS = 30_000
-REPLAY_WINDOW = 1024  # sequence numbers per sender
 RESET_KIND = "jujuberun-reset"
 # Anyone can send a datagram to a caller, and the codec works for minutes on
 # twelve bytes that claim a list of 2**31 entries. So callers read only the
@@ -189,37 +189,6 @@
         return False
 
 
-class ReplayWindow:
-    """Sliding window over the sequence numbers of one sender."""
-
-    __slots__ = ("_highest", "_seen", "used")
-
-    def __init__(self) -> None:
-        self._highest = 0
-        self._seen = 0
-        self.used = 0
-
-    def accept(self, sequence: int, now_ms: int) -> bool:
-        """Records a sequence number; False when it was seen or is too old."""
-        self.used = now_ms
-        ahead = sequence - self._highest
-        if ahead > 0:
-            if ahead >= REPLAY_WINDOW:
-                self._seen = 1
-            else:
-                mask = (1 << REPLAY_WINDOW) - 1
-                self._seen = ((self._seen << ahead) | 1) & mask
-            self._highest = sequence
-            return True
-        if -ahead >= REPLAY_WINDOW:
-            return False
-        bit = 1 << -ahead
-        if self._seen & bit:
-            return False
-        self._seen |= bit
-        return True
-
-
 class Counter:
     """Sequence number that all messages to one receiver share."""
 
