--- /dev/null
+++ b/jujuberun/metrics.py
@@ -0,0 +1,125 @@
+"""Metrics of the process, read from the state of its parts when scraped.
+
+Parts count in plain integers, so that the packet path pays one addition for
+a metric; labels and text are made at the scrape.
+"""
+
+import time
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+from prometheus_client import (
+    CollectorRegistry,
+    ProcessCollector,
+    generate_latest,
+)
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.metrics_core import Metric as Family
+from prometheus_client.registry import Collector
+
+from jujuberun.kernel import Kernel
+from jujuberun.readings import (
+    OWN_METRICS,
+    PREFIX,
+    STATE_METRICS,
+    Metric,
+    Reading,
+    State,
+)
+
+# Some label values come from outside, such as reasons of resets.
+MAX_LABEL_VALUES = 1000
+
+
+class Metrics(Collector):
+    """Part "metrics": metrics of one process in a registry of its own.
+
+    Attributes:
+        registry: further collectors of the process may be added to it.
+    """
+
+    name = "metrics"
+
+    def __init__(
+        self, kernel: Kernel, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.registry = CollectorRegistry()
+        self._kernel = kernel
+        self._clock = clock
+        self._errors = 0
+        self.registry.register(self)
+        ProcessCollector(namespace=PREFIX[:-1], registry=self.registry)
+
+    async def run(
+        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Returns at once: metrics are read when they are scraped."""
+        task_status.started()
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns the number of metrics that could not be read."""
+        return {"state_errors": self._errors}
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    def describe(self) -> list[Family]:
+        """Returns nothing, so that registering does not read the state."""
+        return []
+
+    def collect(self) -> Iterator[Family]:
+        """Yields the metrics of all parts for the registry."""
+        states = dict(self._read_states())
+        for metric in STATE_METRICS:
+            if metric.part not in states:
+                continue
+            try:
+                value = metric.read(states[metric.part])
+                family = _make_family(metric, value)
+            except (KeyError, TypeError, ValueError, AttributeError):
+                # One part in a wrong state must not hide the others.
+                self._errors += 1
+                continue
+            if value is not None:
+                yield family
+        yield _make_events(states)
+        yield _make_family(OWN_METRICS[1], self._errors)
+
+    def _read_states(self) -> Iterator[tuple[str, State]]:
+        now = self._clock()
+        for part in self._kernel.list_parts():
+            try:
+                yield part.name, part.dump_state(now)
+            except Exception:  # noqa: BLE001
+                self._errors += 1
+
+
+def _make_family(metric: Metric, value: Reading) -> Family:
+    kinds = {"counter": CounterMetricFamily, "gauge": GaugeMetricFamily}
+    kind = kinds[metric.kind]
+    name = PREFIX + metric.name
+    if not metric.labels:
+        return kind(name, metric.about, value=float(value or 0))
+    family = kind(name, metric.about, labels=[metric.labels])
+    for label, count in list((value or {}).items())[:MAX_LABEL_VALUES]:
+        family.add_metric([str(label)], float(count))
+    return family
+
+
+def _make_events(states: Mapping[str, State]) -> Family:
+    metric = OWN_METRICS[0]
+    labels = metric.labels.split(",")
+    family = CounterMetricFamily(
+        PREFIX + metric.name, metric.about, labels=labels
+    )
+    for part, state in states.items():
+        counts = state.get("counts")
+        if not isinstance(counts, Mapping):
+            continue
+        for event, count in list(counts.items())[:MAX_LABEL_VALUES]:
+            if isinstance(count, int):
+                family.add_metric([part, str(event)], count)
+    return family
--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -1,6 +1,7 @@
 """Thrift messages between daemons, their envelope, MAC and replay window."""
 
 import hashlib
+import re
 import secrets
 import struct
 import time
@@ -18,13 +19,24 @@
 
 from jujuberun.errors import WireError
 from jujuberun.ids import Address, FlowId
+from jujuberun.window import ReplayWindow
 
 MAC_BYTES = 16
 MAX_DATAGRAM_BYTES = 65_000
 MAX_PAYLOAD_BYTES = 60_000
 FRESH_MS = 30_000
-REPLAY_WINDOW = 1024  # sequence numbers per sender
 RESET_KIND = "jujuberun-reset"
+# Anyone can send a datagram to a caller, and the codec works for minutes on
+# twelve bytes that claim a list of 2**31 entries. So callers read only the
+# exact form that make_reset() writes.
+_RESET = re.compile(
+    rb"\x0b\x00\x01\x00\x00\x00\x0f"
+    + RESET_KIND.encode("ascii")
+    + rb"\x0b\x00\x02\x00\x00\x00(.)([ -~]{0,100})"
+    rb"\x08\x00\x03(.{4})"
+    rb"\x0b\x00\x04\x00\x00\x00\x08(.{8})\x00",
+    re.DOTALL,
+)
 _MAX_SENDERS = 20_000
 _STEP = "open message"
 
@@ -93,7 +105,15 @@
 
 
 def decode(kind: type, data: bytes) -> Any:
-    """Decodes one Thrift struct.
+    """Decodes one Thrift struct whose sender is authenticated.
+
+    The codec trusts the sizes that the data claim: nine bytes of an unknown
+    list keep it busy for minutes. Data from anyone, such as resets at a
+    caller, must not come here.
+
+    Args:
+        kind: class of the struct.
+        data: encoded struct, with a verified MAC.
 
     Raises:
         WireError: the data are truncated or malformed.
@@ -123,13 +143,14 @@
 
 def parse_reset(data: bytes) -> Any | None:
     """Returns the FlowReset in a datagram to a caller, or None."""
-    if len(data) > 200 or not data.startswith(b"\x0b\x00\x01"):
+    match = _RESET.fullmatch(data)
+    if match is None or match[1][0] != len(match[2]):
         return None
-    try:
-        reset = decode(FlowReset, data)
-    except WireError:
+    retry_after = int.from_bytes(match[3], "big", signed=True)
+    if retry_after < 0:
         return None
-    return reset if reset.kind == RESET_KIND else None
+    reason = match[2].decode("ascii")
+    return FlowReset(RESET_KIND, reason, retry_after, match[4])
 
 
 def quote(datagram: bytes) -> bytes:
@@ -168,37 +189,6 @@
         return False
 
 
-class ReplayWindow:
-    """Sliding window over the sequence numbers of one sender."""
-
-    __slots__ = ("_highest", "_seen", "used")
-
-    def __init__(self) -> None:
-        self._highest = 0
-        self._seen = 0
-        self.used = 0
-
-    def accept(self, sequence: int, now_ms: int) -> bool:
-        """Records a sequence number; False when it was seen or is too old."""
-        self.used = now_ms
-        ahead = sequence - self._highest
-        if ahead > 0:
-            if ahead >= REPLAY_WINDOW:
-                self._seen = 1
-            else:
-                mask = (1 << REPLAY_WINDOW) - 1
-                self._seen = ((self._seen << ahead) | 1) & mask
-            self._highest = sequence
-            return True
-        if -ahead >= REPLAY_WINDOW:
-            return False
-        bit = 1 << -ahead
-        if self._seen & bit:
-            return False
-        self._seen |= bit
-        return True
-
-
 class Counter:
     """Sequence number that all messages to one receiver share."""
 
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,152 @@
+from pathlib import Path
+
+import anyio
+from prometheus_client.parser import text_string_to_metric_families
+from test_settings import good_document
+from testtools import TestCase
+
+from jujuberun.daemon import build_kernel
+from jujuberun.kernel import Kernel
+from jujuberun.metrics import MAX_LABEL_VALUES, Metrics
+from jujuberun.readings import PREFIX, list_metrics
+from jujuberun.settings import parse_settings
+
+STATES = {
+    "generations": {"generation": 4, "in_force_for_s": 2.5, "refused": []},
+    "peers": {
+        "known": 9,
+        "absent": {
+            "10.0.0.1:1": {"state": "gone"},
+            "10.0.0.2:1": {"state": "suspected"},
+            "10.0.0.3:1": {"state": "gone"},
+        },
+        "refused_messages": {"mac": 3},
+    },
+    "balancer": {
+        "addresses": {"192.0.2.1:443": {"service": "label", "cached_flows": 5}},
+        "counts": {"resets": 2},
+    },
+    "agent": {
+        "flows": {"label": 7},
+        "open_requests": 1,
+        "directory": {"entries": 6},
+        "registrar": {"unacknowledged_messages": 0},
+        "unsettled": False,
+        "draining": True,
+        "counts": {"reset_no-owner": 1},
+    },
+    "runner": {
+        "slots": 2,
+        "running": 1,
+        "waiting": 0,
+        "outcomes": {"unknown": 1},
+    },
+    "members": {"vms": 12, "held_for_s": 3.0},
+    "link": {"sent_bytes": 10, "received_bytes": 20, "counts": {"served": 1}},
+}
+
+
+class FakePart:
+    def __init__(self, name, state):
+        self.name = name
+        self.state = state
+
+    def dump_state(self, now):
+        return self.state or 1 / 0
+
+
+def make_metrics(states):
+    kernel = Kernel()
+    for name, state in states.items():
+        kernel.register(FakePart(name, state))
+    metrics = Metrics(kernel, clock=lambda: 1.0)
+    kernel.register(metrics)
+    return metrics
+
+
+def scrape(metrics):
+    text = metrics.render().decode()
+    return {f.name: f for f in text_string_to_metric_families(text)}
+
+
+def read_samples(found, name):
+    samples = found[PREFIX + name].samples
+    return {
+        tuple(value for _, value in sorted(s.labels.items(), reverse=True)): (
+            s.value
+        )
+        for s in samples
+    }
+
+
+class MetricsTest(TestCase):
+    def test_table_lists_exactly_what_is_scraped(self):
+        # Guards against a metric without a line on the operators' page.
+        found = scrape(make_metrics(STATES))
+        listed = {
+            PREFIX + m.name.removesuffix("_total"): m for m in list_metrics()
+        }
+        self.assertEqual(set(listed), set(found))
+        for name, metric in listed.items():
+            self.assertEqual(metric.kind, found[name].type)
+            self.assertTrue(metric.unit and metric.about and metric.action)
+
+    def test_values(self):
+        # Guards against a metric that reads another field of the state.
+        found = scrape(make_metrics(STATES))
+        for name, values in {
+            "generation": {(): 4},
+            "absent_peers": {("gone",): 2, ("suspected",): 1},
+            "refused_messages": {("mac",): 3},
+            "cached_flows": {("label",): 5},
+            "open_flows": {("label",): 7},
+            "draining": {(): 1},
+            "requests": {("unknown",): 1},
+            "state_errors": {(): 0},
+            "part_events": {
+                ("balancer", "resets"): 2,
+                ("agent", "reset_no-owner"): 1,
+                ("link", "served"): 1,
+            },
+        }.items():
+            self.assertEqual(values, read_samples(found, name), name)
+
+    def test_real_parts(self):
+        # Guards against a part that names a field of its state anew.
+        for role, names in (
+            ("balancer", {"known_peers", "cached_flows"}),
+            ("agent", {"open_flows", "directory_flows", "unsettled"}),
+        ):
+            document = {**good_document, "role": role, "peer": "127.0.0.1:0"}
+            document["platform"] = {"manifest": "none.json"}
+            kernel = self.build(parse_settings(document, Path("x")).unwrap())
+            metrics = Metrics(kernel)
+            found = scrape(metrics)
+            self.assertEqual({(): 0}, read_samples(found, "state_errors"))
+            self.assertEqual(set(), {PREFIX + n for n in names} - set(found))
+
+    def build(self, settings):
+        async def run():
+            return build_kernel(settings)
+
+        return anyio.run(run)
+
+    def test_no_manifest_yet(self):
+        # Guards against generation 0 before there is one.
+        metrics = make_metrics({"generations": {"generation": None}})
+        self.assertNotIn(PREFIX + "generation", scrape(metrics))
+
+    def test_broken_part_hides_no_other_metric(self):
+        # Guards against a scrape that fails because one part is broken.
+        states = {**STATES, "agent": None, "peers": {"known": "x"}}
+        found = scrape(make_metrics(states))
+        self.assertEqual({("label",): 5}, read_samples(found, "cached_flows"))
+        self.assertNotIn(PREFIX + "open_flows", found)
+        self.assertTrue(read_samples(found, "state_errors")[()] > 1)
+
+    def test_label_values_are_bounded(self):
+        # Guards against a scrape that grows with values from outside.
+        counts = {f"reset_{n}": 1 for n in range(MAX_LABEL_VALUES + 10)}
+        found = scrape(make_metrics({"agent": {"counts": counts}}))
+        count = len(read_samples(found, "part_events"))
+        self.assertEqual(MAX_LABEL_VALUES, count)
