Add TCP link between daemons

Calls of peers go over TCP with the sealed envelope of the datagrams. LinkError.sent tells a caller whether the peer may have got the message.

--- a/jujuberun/errors.py
+++ b/jujuberun/errors.py
@@ -32,7 +32,19 @@
 
 
 class LinkError(JujuberunError):
-    """A TCP exchange with a peer failed."""
+    """A TCP exchange with a peer failed.
+
+    Attributes:
+        sent: whether the peer may have received the message. False only when
+            no byte of it left this process, so that it certainly had no
+            effect at the peer.
+    """
+
+    def __init__(
+        self, step: str, peer: str, message: str, sent: bool = True
+    ) -> None:
+        super().__init__(step, peer, message)
+        self.sent = sent
 
 
 class RequestError(JujuberunError):
--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -34,7 +34,9 @@
 Answer = messages.Answer
 Claim = messages.Claim
 ClaimReply = messages.ClaimReply
+Document = messages.Document
 Envelope = messages.Envelope
+Fetch = messages.Fetch
 FlowRecord = messages.FlowRecord
 FlowReset = messages.FlowReset
 Forward = messages.Forward
@@ -212,22 +214,29 @@
         self._counters: dict[Any, Counter] = {}
         self._windows: dict[int, ReplayWindow] = {}
 
-    def seal(self, message: Any, receiver: Any, now_ms: int) -> bytes:
+    def seal(
+        self,
+        message: Any,
+        receiver: Any,
+        now_ms: int,
+        limit: int = MAX_DATAGRAM_BYTES,
+    ) -> bytes:
         """Encodes and signs one message.
 
         Args:
             message: one of the body structs of Envelope.
             receiver: key of the receiver, usually its address.
             now_ms: wall clock in milliseconds.
+            limit: largest size in bytes.
 
         Returns:
             MAC and envelope as one datagram.
 
         Raises:
-            WireError: the datagram would be larger than MAX_DATAGRAM_BYTES.
+            WireError: the datagram would be larger than the limit.
         """
         body = self.encode_body(message, receiver, now_ms)
-        if len(body) + MAC_BYTES > MAX_DATAGRAM_BYTES:
+        if len(body) + MAC_BYTES > limit:
             raise WireError(
                 "seal message", str(receiver), f"{len(body)} bytes are too many"
             )
