Add platform source and its stand-in

Files are polled, the configuration service is read by HTTP long poll with a size limit, a time limit for the whole answer and backoff with full jitter. The VM list is held with its index, which never goes backwards; equal index with other content is refused and reported. Peers that are host names or that lack a port are refused, because a name would be resolved at each datagram.

--- a/jujuberun/jujuberun.thrift
+++ b/jujuberun/jujuberun.thrift
@@ -98,6 +98,8 @@
   4: i64 vm_index
   5: binary vm_digest
   6: list<Load> loads
+  7: optional i64 asks          // token; the receiver replies with a Status
+  8: optional i64 replies       // token of the Status that asked
 }
 
 // Asks a silent peer for a sign of life; answered by ProbeReply.
@@ -151,6 +153,21 @@
   5: binary data                // zstd
 }
 
+// TCP: asks for manifests that were in force lately; replied to by History.
+struct FetchHistory {
+  1: binary digest              // of the text that the sender has in force
+}
+
+struct HistoryEntry {
+  1: Document document          // base: the entry before, or the text in force
+  2: i64 since                  // ms ago
+  3: i64 replaced               // ms ago
+}
+
+struct History {
+  1: list<HistoryEntry> entries // newest first
+}
+
 // TCP: a request that has not started, for a slot that Reserve granted.
 struct Run {
   1: i64 token
@@ -196,6 +213,8 @@
   31: optional Document document
   32: optional Run run
   33: optional RunReply run_reply
+  40: optional FetchHistory fetch_history
+  41: optional History history
 }
 
 // Sent to callers, in the clear, in place of silence. The quoted bytes are
--- a/jujuberun/members.py
+++ b/jujuberun/members.py
@@ -1,14 +1,31 @@
 """The platform's list of live and leaving VMs."""
 
+import hashlib
 import json
+import logging
+import socket
+from collections import defaultdict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
+import anyio
+from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
+from jujuberun.delta import MAX_DOCUMENT_BYTES, digest_document
 from jujuberun.errors import SourceError
+from jujuberun.generations import Acceptance
 from jujuberun.ids import Address, DomainId, Role, VmId, VmState
 from jujuberun.manifest import format_address, parse_address
 
+# Three, so that the platform may answer only some processes and two of a
+# group may be down; a constant number keeps reads independent of the fleet.
+WATCHERS_PER_GROUP = 3
+_HELD_TEXTS = 8  # earlier lists, as bases of differences
+
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Vm:
@@ -49,12 +66,19 @@
         data: JSON text {"index": n, "vms": [{"id", "role", "peer", "domain",
             "state"}]}.
     """
+    if len(data) > MAX_DOCUMENT_BYTES:
+        return _refuse(f"more than {MAX_DOCUMENT_BYTES} bytes")
     try:
         document = json.loads(data)
         vms = [_build_vm(entry) for entry in document["vms"]]
-        return Ok(VmList(int(document["index"]), {vm.id: vm for vm in vms}))
-    except (KeyError, TypeError, ValueError) as error:
-        return Err(SourceError("parse VM list", "", f"malformed: {error!r}"))
+        index = int(document["index"])
+    except RecursionError:
+        return _refuse("malformed: nested too deeply")
+    except (AttributeError, KeyError, OSError, TypeError, ValueError) as error:
+        return _refuse(f"malformed: {error!r}")
+    if not 0 <= index < 1 << 62:
+        return _refuse(f"index {index} is not within 62 bits")
+    return Ok(VmList(index, {vm.id: vm for vm in vms}))
 
 
 def dump_vm_list(vm_list: VmList) -> bytes:
@@ -73,11 +97,174 @@
     return json.dumps(document, separators=(",", ":")).encode()
 
 
+def rank_watchers(vm_list: VmList) -> frozenset[VmId]:
+    """Returns the VMs that watch the platform.
+
+    They are the first WATCHERS_PER_GROUP live VMs of each failure domain and
+    role, in the order of a hash of their ids, which all processes compute
+    alike. The hash spreads them over racks that share a prefix of the id.
+    """
+    groups: dict[tuple[DomainId, Role], list[VmId]] = defaultdict(list)
+    for vm in vm_list.vms.values():
+        if vm.state is VmState.LIVE:
+            groups[vm.domain, vm.role].append(vm.id)
+    watchers: set[VmId] = set()
+    for group in groups.values():
+        watchers.update(sorted(group, key=_rank)[:WATCHERS_PER_GROUP])
+    return frozenset(watchers)
+
+
+class Members:
+    """Holds the newest VM list; its index never goes backwards.
+
+    Attributes:
+        current: the list, empty with index 0 before the first.
+        text: text of the list.
+        text_digest: digest of the text, empty before the first.
+        is_watcher: whether this VM is one that watches the platform.
+        peers: peer addresses of all other VMs, leaving ones included.
+        refused: reasons of the last refusals.
+    """
+
+    name = "members"
+
+    def __init__(self, vm: VmId) -> None:
+        """Args: id of this VM."""
+        self.current = VmList()
+        self.text = b""
+        self.text_digest = b""
+        self.is_watcher = False
+        self.peers: tuple[Address, ...] = ()
+        self.refused: deque[str] = deque(maxlen=20)
+        self._vm = vm
+        self._texts: deque[tuple[bytes, bytes]] = deque(maxlen=_HELD_TEXTS)
+        self._listeners: list[Callable[[VmList], None]] = []
+        self._conflict: tuple[int, bytes] = (0, b"")
+        self._since = 0.0
+
+    @property
+    def position(self) -> int:
+        """Index of the list, 0 before the first."""
+        return self.current.index
+
+    @property
+    def digest(self) -> bytes:
+        """Digest of the list's text, empty before the first."""
+        return self.text_digest
+
+    def find_text(self, digest: bytes) -> bytes | None:
+        """Returns the text of a held list by its digest, or None."""
+        for held, text in self._texts:
+            if held == digest:
+                return text
+        return None
+
+    def subscribe(self, listener: Callable[[VmList], None]) -> None:
+        """Calls the listener at each new list, and now for the current."""
+        self._listeners.append(listener)
+        if self.text:
+            listener(self.current)
+
+    def offer(
+        self, data: bytes, origin: str, now: float
+    ) -> Result[Acceptance, SourceError]:
+        """Takes a list if it is valid and newer.
+
+        Args:
+            data: text of the list, see parse_vm_list.
+            origin: "platform" or the address of a peer.
+            now: seconds, monotonic.
+
+        Returns:
+            Ok with what became of it, or Err when it is malformed or has the
+            index of the current list and other content.
+        """
+        if data == self.text:
+            return Ok(Acceptance.KNOWN)
+        match parse_vm_list(data):
+            case Err(error):
+                self.refused.append(f"{origin}: {error}")
+                logger.error("members: refused: %s: %s", origin, error)
+                return Err(error)
+            case Ok(vm_list):
+                pass
+        if self.text and vm_list.index <= self.current.index:
+            if vm_list.index < self.current.index:
+                return Ok(Acceptance.OLDER)
+            self.report_conflict(digest_document(data), origin)
+            text = f"index {vm_list.index} is held with other content"
+            return Err(SourceError("accept VM list", origin, text))
+        self._take(vm_list, data, now)
+        return Ok(Acceptance.IN_FORCE)
+
+    def report_conflict(self, digest: bytes, origin: str) -> None:
+        """Reports a peer that has other content at the current index.
+
+        Args:
+            digest: digest of the peer's text.
+            origin: address of the peer.
+        """
+        if (self.position, digest) == self._conflict:
+            return
+        self._conflict = (self.position, digest)
+        text = f"{origin}: index {self.position} is held with other content"
+        self.refused.append(text)
+        logger.error("members: refused: %s", text)
+
+    async def run(
+        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Does nothing: other parts offer lists."""
+        task_status.started()
+        await anyio.sleep_forever()
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns index, number of VMs, age in seconds and refusals."""
+        return {
+            "index": self.position,
+            "vms": len(self.current.vms),
+            "watches_platform": self.is_watcher,
+            "held_for_s": round(now - self._since, 3) if self.text else None,
+            "refused": list(self.refused)[-5:],
+        }
+
+    def _take(self, vm_list: VmList, data: bytes, now: float) -> None:
+        self.current = vm_list
+        self.text = data
+        self.text_digest = digest_document(data)
+        self._texts.append((self.text_digest, data))
+        self._since = now
+        self.is_watcher = self._vm in rank_watchers(vm_list)
+        others = (vm for vm in vm_list.vms.values() if vm.id != self._vm)
+        self.peers = tuple(vm.peer for vm in others)
+        for listener in self._listeners:
+            listener(vm_list)
+
+
+def _rank(vm: VmId) -> bytes:
+    return hashlib.blake2b(vm.encode(), digest_size=8).digest()
+
+
+def _refuse(reason: str) -> Err[SourceError]:
+    return Err(SourceError("parse VM list", "", reason))
+
+
 def _build_vm(entry: dict[str, str]) -> Vm:
+    peer = parse_address(entry["peer"])
+    # A name in place of an address would be resolved at each datagram.
+    socket.inet_pton(socket.AF_INET, peer[0])
+    if not 0 < peer[1] < 65_536:
+        raise ValueError(f"port {peer[1]}")
     return Vm(
-        VmId(entry["id"]),
+        VmId(_check_text(entry["id"])),
         Role(entry["role"]),
-        parse_address(entry["peer"]),
-        DomainId(entry["domain"]),
+        peer,
+        DomainId(_check_text(entry["domain"])),
         VmState(entry["state"]),
     )
+
+
+def _check_text(value: str) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} in place of a text")
+    return value
--- /dev/null
+++ b/jujuberun/source.py
@@ -0,0 +1,236 @@
+"""Platform source: where the manifest and the VM list are published."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+import anyio
+import httpx
+
+from jujuberun.errors import SourceError
+from jujuberun.ids import VmId
+from jujuberun.settings import PlatformSettings
+
+MAX_DOCUMENT_BYTES = 1_000_000  # the platform's largest value
+ANSWER_TIMEOUT_S = 5.0  # on top of the time that a watch may wait
+CONNECT_TIMEOUT_S = 2.0
+FILE_POLL_S = 0.5
+BACKOFF_BASE_S = 0.5
+BACKOFF_LIMIT_S = 10.0
+
+
+class Kind(Enum):
+    """A document that the platform publishes."""
+
+    MANIFEST = "manifest"
+    VMS = "vms"
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A document as the platform gave it.
+
+    Attributes:
+        kind: which document.
+        index: the platform's index of this content, for the next fetch.
+        data: its text.
+    """
+
+    kind: Kind
+    index: int
+    data: bytes
+
+
+class Source(Protocol):
+    """Reads documents of the platform.
+
+    Attributes:
+        is_local: whether reads cost the platform nothing, so that every
+            process may watch.
+    """
+
+    is_local: bool
+
+    async def fetch(
+        self, kind: Kind, index: int, wait: float
+    ) -> Document | None:
+        """Returns a document that is not the one with this index.
+
+        Args:
+            kind: which document.
+            index: index of the last document that was read, 0 for none.
+            wait: seconds to wait for a new one.
+
+        Returns:
+            The document, or None when there was nothing new.
+
+        Raises:
+            SourceError: the platform did not answer as its protocol says.
+        """
+
+    async def aclose(self) -> None:
+        """Closes connections."""
+
+
+def make_source(platform: PlatformSettings, vm: VmId) -> Source:
+    """Returns the source that the settings name.
+
+    Args:
+        platform: URL or files.
+        vm: id of this VM, which the platform sees in the User-Agent.
+    """
+    if platform.url:
+        return HttpSource.from_config(platform.url, vm)
+    return FileSource(
+        {Kind.MANIFEST: platform.manifest, Kind.VMS: platform.vms}
+    )
+
+
+def choose_backoff(attempt: int, rng: random.Random) -> float:
+    """Returns the seconds to wait after failures: exponential, full jitter.
+
+    Args:
+        attempt: failures in a row, from 1.
+        rng: source of the jitter.
+    """
+    limit = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** min(attempt, 16))
+    return rng.uniform(0, limit)
+
+
+class FileSource:
+    """Reads plain files and polls them for changes.
+
+    The index of a file is made of its inode, size and time of change.
+    """
+
+    is_local = True
+
+    def __init__(self, paths: dict[Kind, str]) -> None:
+        """Args: path of each kind of document, empty when there is none."""
+        self._paths = paths
+
+    async def fetch(
+        self, kind: Kind, index: int, wait: float
+    ) -> Document | None:
+        """Returns the file when it changed; see Source."""
+        path = self._paths.get(kind, "")
+        if not path:
+            await anyio.sleep(wait)
+            return None
+        try:
+            return await self._poll(anyio.Path(path), kind, index, wait)
+        except OSError as error:
+            text = f"cannot be read ({error.strerror})"
+            raise SourceError(f"read {kind.value} file", path, text) from error
+
+    async def aclose(self) -> None:
+        """Does nothing: no file stays open."""
+
+    async def _poll(
+        self, path: anyio.Path, kind: Kind, index: int, wait: float
+    ) -> Document | None:
+        deadline = anyio.current_time() + wait
+        while True:
+            # The index is read before the content: a file that changes
+            # between the two is read once more, and never missed.
+            found = await _read_index(path)
+            if found != index:
+                break
+            left = deadline - anyio.current_time()
+            if left <= 0:
+                return None
+            await anyio.sleep(min(left, FILE_POLL_S))
+        async with await path.open("rb") as file:
+            data = await file.read(MAX_DOCUMENT_BYTES + 1)
+        _check_size(data, kind, str(path))
+        return Document(kind, found, data)
+
+
+class HttpSource:
+    """Reads the platform's configuration service by HTTP long poll."""
+
+    is_local = False
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        """Args: client whose base URL is that of the service."""
+        self._client = client
+
+    @classmethod
+    def from_config(
+        cls,
+        url: str,
+        vm: VmId,
+        make_transport: Callable[[], httpx.AsyncBaseTransport] | None = None,
+    ) -> "HttpSource":
+        """Builds the source.
+
+        Args:
+            url: base URL of the service.
+            vm: id of this VM for the User-Agent.
+            make_transport: for tests, in place of the network.
+        """
+        client = httpx.AsyncClient(
+            base_url=url,
+            headers={"User-Agent": f"jujuberun/{vm}"},
+            transport=make_transport() if make_transport else None,
+            trust_env=False,
+        )
+        return cls(client)
+
+    async def fetch(
+        self, kind: Kind, index: int, wait: float
+    ) -> Document | None:
+        """Reads a document, or waits for a newer one; see Source."""
+        step = f"read {kind.value}"
+        peer = str(self._client.base_url)
+        limit = wait + ANSWER_TIMEOUT_S
+        timeout = httpx.Timeout(limit, connect=CONNECT_TIMEOUT_S)
+        query = {"index": str(index), "wait": f"{wait:g}"}
+        try:
+            with anyio.fail_after(limit):
+                async with self._client.stream(
+                    "GET", f"/{kind.value}", params=query, timeout=timeout
+                ) as response:
+                    return await _read_response(response, kind, peer)
+        except (TimeoutError, httpx.TimeoutException):
+            text = f"no complete answer within {limit:g} s"
+            raise SourceError(step, peer, text) from None
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            text = str(error) or type(error).__name__
+            raise SourceError(step, peer, text) from error
+
+    async def aclose(self) -> None:
+        """Closes the connections to the service."""
+        await self._client.aclose()
+
+
+async def _read_response(
+    response: httpx.Response, kind: Kind, peer: str
+) -> Document | None:
+    if response.status_code == httpx.codes.NOT_MODIFIED:
+        return None
+    step = f"read {kind.value}"
+    if response.status_code != httpx.codes.OK:
+        raise SourceError(step, peer, f"status {response.status_code}")
+    text = response.headers.get("x-index", "")
+    if not text.isascii() or not text.isdigit() or len(text) > 18:
+        raise SourceError(step, peer, f"header X-Index is {text[:30]!r}")
+    data = bytearray()
+    async for part in response.aiter_bytes():
+        data += part
+        _check_size(data, kind, peer)
+    return Document(kind, int(text), bytes(data))
+
+
+async def _read_index(path: anyio.Path) -> int:
+    found = await path.stat()
+    stamp = (found.st_ino, found.st_size, found.st_mtime_ns)
+    return hash(stamp) & (1 << 62) - 1 or 1
+
+
+def _check_size(data: bytes | bytearray, kind: Kind, peer: str) -> None:
+    if len(data) > MAX_DOCUMENT_BYTES:
+        text = f"more than {MAX_DOCUMENT_BYTES} bytes"
+        raise SourceError(f"read {kind.value}", peer, text)
