Add gossip of manifest and VM list between peers

Few processes watch the platform, by a ranking of VM ids; the others poll it. Every process gossips its positions, pushes changes to 4 peers, and fetches differences over TCP from a peer that is ahead. After a start or a pause it asks peers first (Status.asks and Status.replies carry a token, so that a Status that waited in a socket buffer confirms nothing) and fetches the manifests of the last minutes, which become history only.

--- a/jujuberun/generations.py
+++ b/jujuberun/generations.py
@@ -138,12 +138,8 @@
         Args:
             now: seconds, monotonic.
         """
-        kept = []
-        for version in reversed(self._versions[:-1]):
-            if now - version.replaced > HISTORY_S:
-                break
-            kept.append(version)
-        return tuple(kept)
+        earlier = reversed(self._versions[:-1])
+        return tuple(v for v in earlier if now - v.replaced <= HISTORY_S)
 
     def add_history(
         self, data: bytes, origin: str, since: float, replaced: float
--- a/jujuberun/source.py
+++ b/jujuberun/source.py
@@ -9,11 +9,11 @@
 import anyio
 import httpx
 
+from jujuberun.delta import MAX_DOCUMENT_BYTES
 from jujuberun.errors import SourceError
 from jujuberun.ids import VmId
 from jujuberun.settings import PlatformSettings
 
-MAX_DOCUMENT_BYTES = 1_000_000  # the platform's largest value
 ANSWER_TIMEOUT_S = 5.0  # on top of the time that a watch may wait
 CONNECT_TIMEOUT_S = 2.0
 FILE_POLL_S = 0.5
--- /dev/null
+++ b/jujuberun/spread.py
@@ -0,0 +1,363 @@
+"""Gossip of manifest and VM list between peers."""
+
+import logging
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+from result import Err, Ok, Result
+
+from jujuberun.errors import JujuberunError, LinkError
+from jujuberun.generations import Generations, Version
+from jujuberun.ids import Address, VmId
+from jujuberun.lead import Lead
+from jujuberun.link import Link
+from jujuberun.manifest import format_address
+from jujuberun.members import Members, VmList
+from jujuberun.source import Kind, Source
+from jujuberun.transfer import Store, Transfer
+from jujuberun.watch import Watch
+from jujuberun.wire import Status
+
+GOSSIP_PERIOD_S = 1.0
+GOSSIP_PEERS = 2
+PUSH_PEERS = 4
+TICK_S = 0.25
+MAX_GAP_S = 1.0  # between two ticks; a longer gap counts as a pause
+ASK_PERIOD_S = 0.5
+# A process without a reply is confirmed after this time, so that a lone one
+# serves; an agent is unsettled as long after a start or a pause.
+ASK_TIMEOUT_S = 3.0
+_MAX_HISTORY_PEERS = 8
+
+logger = logging.getLogger(__name__)
+
+
+class Spread:
+    """Keeps manifest and VM list up to date from the platform and peers.
+
+    The owner of the datagram port passes each Status to handle_status, and
+    sends what the callable "send" is given.
+
+    Attributes:
+        collect_loads: called for the field "loads" of each Status sent; other
+            parts replace it.
+        counts: messages and fetches by kind.
+    """
+
+    name = "spread"
+
+    def __init__(
+        self,
+        vm: VmId,
+        seeds: Sequence[Address],
+        generations: Generations,
+        members: Members,
+        link: Link,
+        send: Callable[[Any, Address], Any],
+        source: Source | None = None,
+        rng: random.Random | None = None,
+        read_clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Builds the part; its link must not serve Fetch yet.
+
+        Args:
+            vm: id of this VM.
+            seeds: peers to ask while no VM list is known.
+            generations: holds the manifest.
+            members: holds the VM list.
+            link: TCP to peers; listens on the address of the peer port.
+            send: sends a message to a peer address as a datagram.
+            source: the platform, None when it is not read.
+            rng: choice of peers and jitter.
+            read_clock: seconds, monotonic.
+        """
+        self.collect_loads: Callable[[], list[Any]] = list
+        self.counts: Counter[str] = Counter()
+        self._vm = vm
+        self._seeds = tuple(s for s in seeds if s != link.address)
+        self._generations = generations
+        self._members = members
+        self._send = send
+        self._rng = rng or random.Random()
+        self._read_clock = read_clock
+        self._stores: dict[Kind, Store] = {
+            Kind.MANIFEST: generations,
+            Kind.VMS: members,
+        }
+        self._transfer = Transfer(link, generations, self._stores, read_clock)
+        self._leads = {kind: Lead() for kind in Kind}
+        self._watches: list[Watch] = []
+        if source is not None:
+            self._watches = [
+                Watch(kind, source, store, members, self._rng, bool(seeds))
+                for kind, store in self._stores.items()
+            ]
+        self._last_tick: float | None = None
+        self._last_gossip = 0.0
+        self._last_ask = 0.0
+        self._asked_since: float | None = None
+        self._token = 0
+        self._confirmed = anyio.Event()
+        self._history_wanted = anyio.Event()
+        self._history_peers: dict[Address, None] = {}
+        self._history_peer_known = anyio.Event()
+        self._position = 0
+        generations.subscribe(self._note_manifest)
+        members.subscribe(self._note_members)
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether a peer confirmed the generation since start or pause."""
+        return self._confirmed.is_set()
+
+    async def wait_confirmed(self) -> None:
+        """Waits until is_confirmed; at most about ASK_TIMEOUT_S."""
+        await self._confirmed.wait()
+
+    def handle_status(self, status: Any, sender: Address, now: float) -> None:
+        """Takes a Status from a peer.
+
+        Args:
+            status: the message.
+            sender: peer address of its sender.
+            now: seconds, monotonic.
+        """
+        self.counts["received"] += 1
+        if status.generation is None or status.vm_index is None:
+            self.counts["malformed"] += 1
+            return
+        ahead = self._compare(
+            Kind.MANIFEST, status.generation, status.digest, sender, now
+        )
+        vms_ahead = self._compare(
+            Kind.VMS, status.vm_index, status.vm_digest, sender, now
+        )
+        if status.replies is not None and status.replies == self._token:
+            self._note_reply(ahead)
+        if self._history_wanted.is_set() and ahead == 0 and status.generation:
+            self._note_history_peer(sender)
+        if status.asks is not None:
+            self._send_status([sender], replies=status.asks)
+        elif status.replies is None and (ahead < 0 or vms_ahead < 0):
+            # Only a Status that is no reply itself is replied to: two peers
+            # that are each ahead in one document would never stop.
+            self._send_status([sender], replies=0)
+
+    def tick(self, now: float) -> None:
+        """Does what is due: gossip, asking peers, noticing a pause.
+
+        Args:
+            now: seconds, monotonic.
+        """
+        last, self._last_tick = self._last_tick, now
+        if last is None or now - last > MAX_GAP_S:
+            if last is not None:
+                logger.warning("spread: paused for %.1f s", now - last)
+                self.counts["pauses"] += 1
+            self.ask_peers(now)
+        elif self._asked_since is not None:
+            if now - self._asked_since >= ASK_TIMEOUT_S:
+                self._confirm()
+            elif now - self._last_ask >= ASK_PERIOD_S:
+                self._repeat_ask(now)
+        if now - self._last_gossip >= GOSSIP_PERIOD_S:
+            self._last_gossip = now
+            self._send_status(self._choose_peers(GOSSIP_PEERS))
+
+    def ask_peers(self, now: float) -> None:
+        """Asks peers for their generation, after a start or a pause.
+
+        Until one replied, is_confirmed is False.
+        """
+        self._confirmed = anyio.Event()
+        self._asked_since = now
+        self._token = self._rng.getrandbits(60) + 1
+        self._want_history()
+        self._repeat_ask(now)
+
+    async def run(
+        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs until cancelled."""
+        async with anyio.create_task_group() as group:
+            for kind in Kind:
+                group.start_soon(self._fetch_leads, kind)
+            group.start_soon(self._learn_history)
+            for watch in self._watches:
+                group.start_soon(watch.run, self._read_clock)
+            task_status.started()
+            while True:
+                self.tick(self._read_clock())
+                await anyio.sleep(TICK_S)
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns positions, confirmation, counters and platform errors."""
+        return {
+            "generation": self._generations.position,
+            "vm_index": self._members.position,
+            "confirmed": self.is_confirmed,
+            "peers": len(self._members.peers),
+            "counts": dict(self.counts),
+            "reads": [dict(watch.counts) for watch in self._watches],
+            "platform_errors": [w.last_error for w in self._watches],
+        }
+
+    def _compare(
+        self,
+        kind: Kind,
+        position: int,
+        digest: bytes,
+        sender: Address,
+        now: float,
+    ) -> int:
+        """Returns 1, 0 or -1: the peer is ahead, equal or behind."""
+        store = self._stores[kind]
+        if position > store.position:
+            self._leads[kind].note(sender, position, digest, now)
+            return 1
+        if position < store.position:
+            return -1
+        if position and digest != store.digest:
+            store.report_conflict(digest, format_address(sender))
+        return 0
+
+    def _note_reply(self, ahead: int) -> None:
+        # When the peer is ahead, the fetch that follows confirms.
+        if ahead <= 0:
+            self._confirm()
+
+    def _confirm(self) -> None:
+        self._asked_since = None
+        self._confirmed.set()
+
+    def _note_manifest(self, version: Version) -> None:
+        generation = version.manifest.generation
+        if generation > self._position + 1:
+            self._want_history()
+        self._position = generation
+        self._push()
+
+    def _note_members(self, vm_list: VmList) -> None:
+        for watch in self._watches:
+            watch.note_members()
+        self._push()
+
+    def _push(self) -> None:
+        self.counts["pushes"] += 1
+        self._send_status(self._choose_peers(PUSH_PEERS))
+
+    def _repeat_ask(self, now: float) -> None:
+        self._last_ask = now
+        peers = self._choose_peers(PUSH_PEERS)
+        if self._seeds and self._members.peers:
+            # The VM list may be older than the replacement of all its VMs.
+            peers.append(self._rng.choice(self._seeds))
+        if not peers:
+            self._confirm()
+        self._send_status(peers, asks=self._token)
+
+    def _choose_peers(self, count: int) -> list[Address]:
+        known = self._members.peers or self._seeds
+        if len(known) <= count:
+            return list(known)
+        return self._rng.sample(known, count)
+
+    def _send_status(
+        self,
+        peers: Sequence[Address],
+        asks: int | None = None,
+        replies: int | None = None,
+    ) -> None:
+        if not peers:
+            return
+        generations, members = self._generations, self._members
+        status = Status(
+            self._vm,
+            generations.position,
+            generations.digest,
+            members.position,
+            members.digest,
+            self.collect_loads(),
+            asks,
+            replies,
+        )
+        for peer in peers:
+            self.counts["sent"] += 1
+            self._send(status, peer)
+
+    async def _fetch_leads(self, kind: Kind) -> None:
+        """Fetches from peers that are ahead, one at a time."""
+        lead = self._leads[kind]
+        while True:
+            await lead.changed.wait()
+            peer = lead.choose(self._stores[kind].position, self._rng)
+            if peer is not None:
+                await self._fetch(kind, peer)
+
+    async def _fetch(self, kind: Kind, peer: Address) -> None:
+        lead = self._leads[kind]
+        self.counts["fetches"] += 1
+        try:
+            result = await self._transfer.fetch(kind, peer)
+        except LinkError as error:
+            self.counts["failed-fetches"] += 1
+            logger.info("spread: %s", error)
+            lead.forget(peer)
+            return
+        self._finish_fetch(kind, peer, result)
+
+    def _finish_fetch(
+        self, kind: Kind, peer: Address, result: Result[Any, JujuberunError]
+    ) -> None:
+        match result:
+            case Err(error):
+                self.counts["refused"] += 1
+                logger.error(
+                    "spread: %s of %s refused: %s",
+                    kind.value,
+                    format_address(peer),
+                    error,
+                )
+                self._leads[kind].refuse(peer, self._read_clock())
+            case Ok(_):
+                self._leads[kind].forget(peer)
+                if kind is Kind.MANIFEST:
+                    self._note_history_peer(peer)
+                    self._confirm()
+
+    def _want_history(self) -> None:
+        wanted, self._history_wanted = self._history_wanted, anyio.Event()
+        wanted.set()
+        self._history_wanted.set()
+
+    def _note_history_peer(self, peer: Address) -> None:
+        if len(self._history_peers) < _MAX_HISTORY_PEERS:
+            self._history_peers[peer] = None
+            self._history_peer_known.set()
+
+    async def _learn_history(self) -> None:
+        """Fetches the manifests before the one in force from a peer."""
+        while True:
+            await self._history_wanted.wait()
+            await self._history_peer_known.wait()
+            wanted = self._history_wanted
+            if await self._fetch_history() and wanted is self._history_wanted:
+                self._history_wanted = anyio.Event()
+
+    async def _fetch_history(self) -> bool:
+        peer = next(iter(self._history_peers))
+        del self._history_peers[peer]
+        if not self._history_peers:
+            self._history_peer_known = anyio.Event()
+        try:
+            added = await self._transfer.fetch_history(peer)
+        except LinkError as error:
+            logger.info("spread: %s", error)
+            return False
+        self.counts["history"] += added
+        return True
--- a/jujuberun/standin_platform.py
+++ b/jujuberun/standin_platform.py
@@ -6,10 +6,11 @@
 """
 
 import argparse
+import contextlib
 import json
-import time
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 from urllib.parse import parse_qsl, urlsplit
@@ -17,8 +18,10 @@
 import anyio
 from anyio.abc import SocketStream, TaskStatus
 
-from jujuberun.ids import Address
+from jujuberun.errors import SourceError
+from jujuberun.ids import Address, VmId
 from jujuberun.manifest import format_address, parse_address
+from jujuberun.source import ANSWER_TIMEOUT_S, Document, Kind
 
 MAX_WAIT_S = 60.0
 FILE_POLL_S = 0.5
@@ -37,6 +40,21 @@
     OVERSIZED = "oversized"  # answers with more bytes than a value may have
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer to one read.
+
+    Attributes:
+        status: HTTP status.
+        index: index of the document.
+        body: its text.
+    """
+
+    status: int
+    index: int = 0
+    body: bytes = b""
+
+
 class Platform:
     """Holds the two documents and answers readers.
 
@@ -110,15 +128,36 @@
             task_status.started()
             await listener.serve(self._serve)
 
+    async def read(
+        self, kind: str, index: int, wait: float, reader: str
+    ) -> Answer:
+        """Answers one read, as the HTTP service does.
+
+        Args:
+            kind: "manifest" or "vms".
+            index: index of the reader's last document.
+            wait: seconds to wait for a newer one.
+            reader: the reader's User-Agent.
+        """
+        self.reads[kind] += 1
+        self._times.append(anyio.current_time())
+        if not self.accepts(reader) or self.mode is Mode.HANGING:
+            await anyio.sleep_forever()
+        if self.mode is Mode.SLOW:
+            await anyio.sleep(self.delay)
+        if self.mode is Mode.FAILING:
+            return Answer(503)
+        if self.mode is Mode.OVERSIZED:
+            return Answer(200, 1, b" " * 1_500_000)
+        found = await self._find_newer(kind, index, min(wait, MAX_WAIT_S))
+        return Answer(304) if found is None else Answer(200, *found)
+
     async def _serve(self, stream: SocketStream) -> None:
-        try:
+        closed = (OSError, anyio.EndOfStream, anyio.BrokenResourceError)
+        with contextlib.suppress(ValueError, KeyError, *closed):
             async with stream:
                 while await self._serve_request(stream):
                     pass
-        except (OSError, ValueError, anyio.EndOfStream):
-            pass
-        except anyio.BrokenResourceError:
-            pass
 
     async def _serve_request(self, stream: SocketStream) -> bool:
         data = b""
@@ -138,13 +177,32 @@
         query = dict(parse_qsl(parts.query))
         kind = parts.path.strip("/")
         if kind == "standin":
-            await _send(stream, 200, self._control(method, query))
-        elif method == "PUT":
+            await _send(stream, Answer(200, 0, self._control(method, query)))
+            return True
+        if method == "PUT":
             self.publish(kind, body)
-            await _send(stream, 200, b"")
-        else:
-            reader = headers.get("user-agent", "")
-            await self._answer(stream, kind, query, reader)
+            await _send(stream, Answer(200))
+            return True
+        reader = headers.get("user-agent", "")
+        return await self._answer(stream, kind, query, reader)
+
+    async def _answer(
+        self,
+        stream: SocketStream,
+        kind: str,
+        query: dict[str, str],
+        reader: str,
+    ) -> bool:
+        index = int(query.get("index", "0"))
+        wait = float(query.get("wait", "0"))
+        answer = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_closing, stream, group.cancel_scope)
+            answer = await self.read(kind, index, wait, reader)
+            group.cancel_scope.cancel()
+        if answer is None:
+            return False
+        await _send(stream, answer)
         return True
 
     def _control(self, method: str, query: dict[str, str]) -> bytes:
@@ -159,34 +217,6 @@
         }
         return json.dumps(state).encode()
 
-    async def _answer(
-        self,
-        stream: SocketStream,
-        kind: str,
-        query: dict[str, str],
-        reader: str,
-    ) -> None:
-        self.reads[kind] += 1
-        self._times.append(time.monotonic())
-        if not self.accepts(reader) or self.mode is Mode.HANGING:
-            await self._wait_end(stream)
-            return
-        if self.mode is Mode.SLOW:
-            await anyio.sleep(self.delay)
-        if self.mode is Mode.FAILING:
-            await _send(stream, 503, b"")
-            return
-        if self.mode is Mode.OVERSIZED:
-            await _send(stream, 200, b" " * 1_500_000, 1)
-            return
-        index = int(query.get("index", "0"))
-        wait = min(float(query.get("wait", "0")), MAX_WAIT_S)
-        found = await self._find_newer(kind, index, wait)
-        if found is None:
-            await _send(stream, 304, b"")
-        else:
-            await _send(stream, 200, found[1], found[0])
-
     async def _find_newer(
         self, kind: str, index: int, wait: float
     ) -> tuple[int, bytes] | None:
@@ -199,30 +229,67 @@
                 return found
         finally:
             self.pending -= 1
-        found = self._find(kind)
-        return found if found is not None and found[0] > index else None
+        return None
 
     def _find(self, kind: str) -> tuple[int, bytes] | None:
         held = self._stale if self.mode is Mode.STALE else self._documents
         return held.get(kind)
 
-    async def _wait_end(self, stream: SocketStream) -> None:
-        await stream.receive()
-        raise anyio.EndOfStream
-
     def _wake(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
 
 
-async def _send(
-    stream: SocketStream, status: int, body: bytes, index: int = 0
-) -> None:
-    lines = [f"HTTP/1.1 {status} Status", f"X-Index: {index}"]
-    if status != 304:
-        lines.append(f"Content-Length: {len(body)}")
+class DirectSource:
+    """Source that reads a stand-in in the same process, without HTTP."""
+
+    is_local = False
+
+    def __init__(self, platform: Platform, vm: VmId) -> None:
+        self._platform = platform
+        self._reader = f"jujuberun/{vm}"
+
+    async def fetch(
+        self, kind: Kind, index: int, wait: float
+    ) -> Document | None:
+        """Reads a document; see Source."""
+        step = f"read {kind.value}"
+        answer = None
+        with anyio.move_on_after(wait + ANSWER_TIMEOUT_S):
+            answer = await self._platform.read(
+                kind.value, index, wait, self._reader
+            )
+        if answer is None:
+            raise SourceError(step, "stand-in", "no answer")
+        if answer.status == 304:
+            return None
+        if answer.status != 200:
+            raise SourceError(step, "stand-in", f"status {answer.status}")
+        return Document(kind, answer.index, answer.body)
+
+    async def aclose(self) -> None:
+        """Does nothing."""
+
+
+async def _send(stream: SocketStream, answer: Answer) -> None:
+    lines = [
+        f"HTTP/1.1 {answer.status} Status",
+        f"X-Index: {answer.index}",
+    ]
+    if answer.status != 304:
+        lines.append(f"Content-Length: {len(answer.body)}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    await stream.send(head.encode() + body)
+    await stream.send(head.encode() + answer.body)
+
+
+async def _watch_closing(
+    stream: SocketStream, scope: anyio.CancelScope
+) -> None:
+    """Cancels the scope when the reader closes its connection."""
+    closed = (OSError, anyio.EndOfStream, anyio.BrokenResourceError)
+    with contextlib.suppress(*closed):
+        await stream.receive(1)
+    scope.cancel()
 
 
 async def _publish_files(platform: Platform, files: dict[str, Path]) -> None:
--- /dev/null
+++ b/jujuberun/transfer.py
@@ -0,0 +1,193 @@
+"""Transfer of manifests and VM lists between peers over TCP."""
+
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from result import Err, Ok, Result
+
+from jujuberun.delta import (
+    apply_delta,
+    digest_document,
+    make_delta,
+    pack_document,
+    unpack_document,
+)
+from jujuberun.errors import JujuberunError, LinkError
+from jujuberun.generations import Acceptance, Generations
+from jujuberun.ids import Address
+from jujuberun.link import Link
+from jujuberun.manifest import format_address
+from jujuberun.source import Kind
+from jujuberun.wire import (
+    Document,
+    Fetch,
+    FetchHistory,
+    History,
+    HistoryEntry,
+)
+
+FETCH_TIMEOUT_S = 3.0
+_MAX_HISTORY_BYTES = 1_500_000  # of packed documents in one reply
+_MAX_PACKED = 32  # replies kept for peers that hold the same base
+
+
+class Store(Protocol):
+    """Holds one kind of document: Generations and Members.
+
+    Attributes:
+        position: generation or index, 0 before the first.
+        digest: tells apart two documents of one position.
+        text: the document, empty before the first.
+        text_digest: digest_document of the text.
+    """
+
+    position: int
+    digest: bytes
+    text: bytes
+    text_digest: bytes
+
+    def find_text(self, digest: bytes) -> bytes | None:
+        """Returns a held text by its digest, or None."""
+
+    def offer(
+        self, data: bytes, origin: str, now: float
+    ) -> Result[Acceptance, JujuberunError]:
+        """Takes a document if it is valid and newer."""
+
+    def report_conflict(self, digest: bytes, origin: str) -> None:
+        """Reports a peer that has other content at the same position."""
+
+
+class Transfer:
+    """Serves the held documents to peers, and fetches those of peers."""
+
+    def __init__(
+        self,
+        link: Link,
+        generations: Generations,
+        stores: dict[Kind, Store],
+        read_clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Registers the handlers of Fetch and FetchHistory at the link."""
+        self._link = link
+        self._generations = generations
+        self._stores = stores
+        self._read_clock = read_clock
+        self._packed: dict[tuple[bytes, bytes], bytes] = {}
+        link.serve(Fetch, self._serve_fetch)
+        link.serve(FetchHistory, self._serve_history)
+
+    async def fetch(
+        self, kind: Kind, address: Address
+    ) -> Result[Acceptance, JujuberunError]:
+        """Fetches a document from a peer and offers it to its store.
+
+        Returns:
+            Ok with what became of it, KNOWN when the peer has nothing newer,
+            or Err when the document was refused.
+
+        Raises:
+            LinkError: the peer did not reply.
+        """
+        store = self._stores[kind]
+        request = Fetch(kind.value, store.position, store.text_digest)
+        reply = await self._link.call(address, request, FETCH_TIMEOUT_S)
+        peer = format_address(address)
+        if not isinstance(reply, Document):
+            raise LinkError("fetch document", peer, "replied another message")
+        if not reply.data:
+            return Ok(Acceptance.KNOWN)
+        match _unpack(reply, store.find_text):
+            case Err(error):
+                return Err(error)
+            case Ok(text):
+                return store.offer(text, peer, self._read_clock())
+
+    async def fetch_history(self, address: Address) -> int:
+        """Fetches the manifests that were in force lately, as history.
+
+        Returns:
+            The number of manifests that were added.
+
+        Raises:
+            LinkError: the peer did not reply, or not as it should.
+        """
+        generations = self._generations
+        request = FetchHistory(generations.text_digest)
+        base = generations.text
+        reply = await self._link.call(address, request, FETCH_TIMEOUT_S)
+        now = self._read_clock()
+        peer = format_address(address)
+        if not isinstance(reply, History):
+            raise LinkError("fetch history", peer, "replied another message")
+        added = 0
+        for entry in reply.entries or ():
+            if None in (entry.document, entry.since, entry.replaced):
+                raise LinkError("fetch history", peer, "a field is missing")
+            match _unpack(entry.document, lambda _, base=base: base):
+                case Err(error):
+                    raise LinkError("fetch history", peer, str(error))
+                case Ok(text):
+                    base = text
+            since = now - entry.since / 1000
+            replaced = now - entry.replaced / 1000
+            result = generations.add_history(text, peer, since, replaced)
+            added += result == Ok(Acceptance.OLDER)
+        return added
+
+    async def _serve_fetch(self, message: Any, sender: Address) -> Any:
+        kind = Kind(message.kind)
+        store = self._stores[kind]
+        position = store.position
+        if position <= message.index:
+            return Document(kind.value, position, store.text_digest, b"", b"")
+        base = store.find_text(message.digest)
+        return self._make_document(kind, position, store.text, base)
+
+    async def _serve_history(self, message: Any, sender: Address) -> Any:
+        now = self._read_clock()
+        generations = self._generations
+        base = generations.find_text(message.digest)
+        entries = []
+        size = 0
+        for version in generations.history(now):
+            document = self._make_document(
+                Kind.MANIFEST, version.manifest.generation, version.data, base
+            )
+            size += len(document.data)
+            if size > _MAX_HISTORY_BYTES:
+                break
+            since = round((now - version.since) * 1000)
+            replaced = round((now - version.replaced) * 1000)
+            entries.append(HistoryEntry(document, since, replaced))
+            base = version.data
+        return History(entries)
+
+    def _make_document(
+        self, kind: Kind, position: int, text: bytes, base: bytes | None
+    ) -> Any:
+        digest = digest_document(text)
+        base_digest = b"" if base is None else digest_document(base)
+        packed = self._packed.get((base_digest, digest))
+        if packed is None:
+            if base is None:
+                packed = pack_document(text)
+            else:
+                packed = make_delta(base, text)
+            while len(self._packed) >= _MAX_PACKED:
+                del self._packed[next(iter(self._packed))]
+            self._packed[base_digest, digest] = packed
+        return Document(kind.value, position, digest, base_digest, packed)
+
+
+def _unpack(
+    document: Any, find_text: Callable[[bytes], bytes | None]
+) -> Result[bytes, JujuberunError]:
+    if not document.base:
+        return unpack_document(document.data, document.digest)
+    base = find_text(document.base)
+    if base is None:
+        text = "the base of the difference is not held"
+        return Err(LinkError("fetch document", "", text))
+    return apply_delta(base, document.data, document.digest)
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,78 @@
+import json
+
+from fleet import make_address, make_vms
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from jujuberun.generations import Acceptance
+from jujuberun.ids import VmId, VmState
+from jujuberun.members import (
+    Members,
+    dump_vm_list,
+    parse_vm_list,
+    rank_watchers,
+)
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["index", "vms", "id", "peer", "role"]), inner
+        )
+    ),
+    max_leaves=8,
+)
+
+
+class MembersTest(TestCase):
+    def test_index_never_goes_backwards(self):
+        # Guards against a stale platform that brings replaced VMs back.
+        members = Members(VmId("vm-1"))
+        results = [
+            members.offer(make_vms(count, index=index), "platform", 0.0)
+            for count, index in ((4, 7), (5, 6), (4, 7), (5, 7), (6, 8))
+        ]
+        self.assertEqual(Acceptance.IN_FORCE, results[0].ok_value)
+        self.assertEqual(Acceptance.OLDER, results[1].ok_value)
+        self.assertEqual(Acceptance.KNOWN, results[2].ok_value)
+        self.assertIn("other content", str(results[3].err_value))
+        self.assertIn("index 7", members.refused[-1])
+        self.assertEqual(Acceptance.IN_FORCE, results[4].ok_value)
+        self.assertEqual(5, len(members.peers))
+        self.assertNotIn(make_address(1), members.peers)
+
+    def test_watchers(self):
+        # Guards against a group without a watcher, a leaving VM that counts
+        # as one, and a number that grows with the fleet.
+        vm_list = parse_vm_list(make_vms(400, domains=3)).ok_value
+        watchers = rank_watchers(vm_list)
+        self.assertEqual(3 * 2 * 3, len(watchers))
+        document = json.loads(make_vms(400, domains=3))
+        for vm in document["vms"]:
+            if vm["id"] in watchers:
+                vm["state"] = VmState.LEAVING.value
+        vm_list = parse_vm_list(json.dumps(document).encode()).ok_value
+        self.assertEqual(18, len(rank_watchers(vm_list)))
+        self.assertEqual(frozenset(), watchers & rank_watchers(vm_list))
+
+    def test_text_of_a_list(self):
+        vm_list = parse_vm_list(make_vms(9)).ok_value
+        self.assertEqual(vm_list, parse_vm_list(dump_vm_list(vm_list)).ok_value)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(JSON)
+    def test_malformed_lists_are_refused(self, document):
+        # Guards against an exception that ends the reading of the platform.
+        members = Members(VmId("vm-1"))
+        members.offer(json.dumps(document).encode(), "platform", 0.0)
+
+    def test_bad_peers_are_refused(self):
+        # Guards against a host name, which each datagram would resolve.
+        good = make_vms(2).decode()
+        for peer in ("example.org:7100", "10.0.0.0", "10.0.0.0:0", "::1:9"):
+            text = good.replace("10.0.0.0:7100", peer).encode()
+            self.assertTrue(parse_vm_list(text).is_err(), peer)
+        deep = b"[" * 100_000
+        self.assertTrue(parse_vm_list(deep).is_err())
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,89 @@
+import random
+from types import SimpleNamespace
+
+import anyio
+from fleet import make_vms, run_virtual
+from testtools import TestCase
+from testtools.matchers import LessThan
+
+from jujuberun.ids import VmId
+from jujuberun.members import parse_vm_list, rank_watchers
+from jujuberun.source import Kind
+from jujuberun.standin_platform import DirectSource, Mode, Platform
+from jujuberun.watch import (
+    Watch,
+    compute_reads_per_s,
+    compute_start_reads_per_s,
+)
+
+BALANCERS, AGENTS = 570, 3600
+PROCESSES = BALANCERS + AGENTS
+READS_PER_S = 2000  # stated limit of the platform
+
+
+class ReadsTest(TestCase):
+    """Reads of all processes at the target scale, without any gossip."""
+
+    def setUp(self):
+        super().setUp()
+        text = make_vms(PROCESSES, domains=10, balancers=7)
+        self.watchers = rank_watchers(parse_vm_list(text).ok_value)
+
+    def count_peak(self, seconds, position=0, mode=Mode.NORMAL):
+        """Returns the highest number of reads within one second."""
+        platform = Platform()
+        platform.publish("vms", b"list")
+        platform.publish("manifest", b"text")
+        platform.set_mode(mode)
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                for number in range(PROCESSES):
+                    self.start(group, platform, number, position)
+                await anyio.sleep(seconds)
+                group.cancel_scope.cancel()
+
+        run_virtual(main)
+        return platform.find_peak_rate() + platform.peak_pending
+
+    def start(self, group, platform, number, position):
+        vm = VmId(f"vm-{number}")
+        is_watcher = vm in self.watchers
+        members = SimpleNamespace(is_watcher=is_watcher and position > 0)
+        rng = random.Random(number)
+        for kind in Kind:
+            store = SimpleNamespace(position=position)
+            watch = Watch(
+                kind, DirectSource(platform, vm), store, members, rng, True
+            )
+
+            def offer(*_, kind=kind, store=store, watch=watch):
+                store.position = 1
+                if kind is Kind.VMS:
+                    members.is_watcher = is_watcher
+                watch.note_members()
+
+            store.offer = offer
+            group.start_soon(watch.run, anyio.current_time)
+
+    def test_settled(self):
+        # Guards against reads that grow with the fleet beyond the limit.
+        self.assertEqual(10 * 2 * 3, len(self.watchers))
+        others = PROCESSES - len(self.watchers)
+        bound = compute_reads_per_s(len(self.watchers), others)
+        self.assertThat(bound, LessThan(READS_PER_S))
+        self.assertThat(self.count_peak(80, position=1), LessThan(READS_PER_S))
+
+    def test_all_start(self):
+        # Guards against a start of the whole fleet that overloads the
+        # platform, whether it answers, fails or answers nobody.
+        bound = compute_start_reads_per_s(PROCESSES)
+        self.assertThat(bound, LessThan(READS_PER_S))
+        for mode in (Mode.NORMAL, Mode.FAILING, Mode.HANGING):
+            peak = self.count_peak(12, mode=mode)
+            self.assertThat(peak, LessThan(READS_PER_S), mode)
+
+    def test_fails_while_settled(self):
+        # Guards against watchers that retry at the same time.
+        peak = self.count_peak(30, position=1, mode=Mode.FAILING)
+        self.assertThat(peak, LessThan(READS_PER_S))
