--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -7,10 +7,12 @@
 from test_schema import VALID, mutations
 from testtools import TestCase
 
+from jujuberun import manifest as manifest_module
 from jujuberun.manifest import (
     MAX_MANIFEST_BYTES,
     FirstPacket,
     dump_manifest,
+    load_schema,
     parse_manifest,
 )
 
@@ -223,3 +225,21 @@
         self.assertTrue(prefix.accepts(b"\x00\xff1"))
         self.assertFalse(prefix.accepts(b"\x00"))
         self.assertTrue(FirstPacket.from_config("any").accepts(b""))
+
+
+class LimitsTest(TestCase):
+    def test_length_limits_hold_(self):
+        self.patch(manifest_module, "MAX_MANIFEST_BYTES", 10_000_000)
+        limit = load_schema()["properties"]["services"]["maxItems"]
+        self.assertTrue(parse_manifest(render()).is_ok())
+        for count in (0, limit + 1):
+            data = render(services=[SERVICE] * count)
+            self.assertIn("services", str(parse_manifest(data).err_value))
+
+    def test_deep_nesting_is_refused(self):
+        # Guards against a RecursionError that ends the process; it was
+        # raised for nesting from 989 levels on, below the parser's limit.
+        for depth in (100, 970, 985, 989, 993, 2000):
+            nested = "[" * depth + "]" * depth
+            text = f'{{"generation":1,"services":[{nested}],"targets":[]}}'
+            self.assertTrue(parse_manifest(text.encode()).is_err())
