--- a/jujuberun/generations.py
+++ b/jujuberun/generations.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import Any
 
+import anyio
 from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
