--- /dev/null
+++ b/jujuberun/standin_certificate.py
@@ -0,0 +1,72 @@
+"""Self-signed certificates for tests, measurements and the demo."""
+
+import datetime
+from dataclasses import dataclass
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+_VALIDITY = datetime.timedelta(days=3650)
+_START = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
+DEFAULT_NAME = "jujuberun.test"
+
+
+@dataclass(frozen=True, slots=True)
+class TestCertificate:
+    """A self-signed certificate.
+
+    Attributes:
+        name: DNS name that it carries.
+        certificate: PEM text.
+        private_key: PEM text.
+    """
+
+    name: str
+    certificate: bytes
+    private_key: bytes
+
+    def write(self, directory: Path) -> tuple[Path, Path]:
+        """Writes both PEM files and returns their paths."""
+        certificate = directory / "certificate.pem"
+        private_key = directory / "private_key.pem"
+        certificate.write_bytes(self.certificate)
+        private_key.write_bytes(self.private_key)
+        return certificate, private_key
+
+
+def make_certificate(name: str = DEFAULT_NAME) -> TestCertificate:
+    """Makes a self-signed certificate with a new P-256 key.
+
+    Args:
+        name: DNS name that callers will verify.
+    """
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+    names = x509.SubjectAlternativeName([x509.DNSName(name)])
+    usage = x509.BasicConstraints(ca=True, path_length=0)
+    identifier = x509.SubjectKeyIdentifier.from_public_key(key.public_key())
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(_START)
+        .not_valid_after(_START + 2 * _VALIDITY)
+        .add_extension(names, critical=False)
+        .add_extension(usage, critical=True)
+        .add_extension(identifier, critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    return TestCertificate(
+        name,
+        certificate.public_bytes(serialization.Encoding.PEM),
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        ),
+    )
--- /dev/null
+++ b/jujuberun/streams.py
@@ -0,0 +1,348 @@
+"""The agent's end of a request flow: QUIC and HTTP/3."""
+
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import anyio
+from aioquic.buffer import Buffer
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic import events
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.packet import QuicPacketType, pull_quic_header
+from anyio.abc import TaskGroup
+
+from jujuberun.manifest import Service
+from jujuberun.quic import (
+    H3_NO_ERROR,
+    H3_REQUEST_CANCELLED,
+    PATH,
+    SERVER_CONTROL_STREAM,
+    Headers,
+    encode_goaway,
+)
+from jujuberun.work import (
+    Work,
+    WorkResult,
+    encode_result,
+    lose,
+    make_work,
+    refuse,
+)
+
+HANDSHAKE_TIMEOUT_S = 10.0
+LINGER_S = 3.0  # after a drain, for retransmission of the last answers
+BODY_TIMEOUT_S = 30.0  # from the header fields to the whole body
+MAX_INBOX_PACKETS = 512  # QUIC resends what is dropped beyond
+MAX_BODY_BYTES = 4 << 20  # of one request
+MAX_BODIES_BYTES = 8 << 20  # of all unfinished requests of a flow
+_log = logging.getLogger(__name__)
+
+
+class Executor(Protocol):
+    """What a flow needs of the runner."""
+
+    async def execute(self, work: Work, now: float) -> WorkResult:
+        """Runs a request at most once and returns what became of it."""
+
+
+class _Request:
+    """One request stream.
+
+    Attributes:
+        headers: its header fields.
+        arrived: when they arrived, seconds, monotonic.
+        body: what has arrived of the body.
+        complete: set once the body is whole.
+        scope: cancelled when the caller gives the request up.
+        refused: why it will not run, empty when it may.
+    """
+
+    __slots__ = ("arrived", "body", "complete", "headers", "refused", "scope")
+
+    def __init__(self, headers: Headers, arrived: float) -> None:
+        self.headers = headers
+        self.arrived = arrived
+        self.body = bytearray()
+        self.complete = anyio.Event()
+        self.scope = anyio.CancelScope()
+        self.refused = ""
+
+
+class RequestFlow:
+    """Terminates the QUIC connection of one flow.
+
+    The task of run() drives the connection; each request has its own task.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        send: Callable[[bytes], None],
+        runner: Executor,
+        tls: QuicConfiguration,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._service = service
+        self._send = send
+        self._runner = runner
+        self._tls = tls
+        self._clock = clock
+        self._inbox: deque[tuple[bytes, float]] = deque(
+            maxlen=MAX_INBOX_PACKETS
+        )
+        self._wake = anyio.Event()
+        self._quic: QuicConnection | None = None
+        self._http: H3Connection | None = None
+        self._requests: dict[int, _Request] = {}
+        self._next_stream = 0
+        self._total = 0
+        self._body_bytes = 0
+        self._draining = False
+        self._goaway_sent = False
+        self._ended = False
+        self._active = clock()
+
+    @classmethod
+    def from_config(
+        cls,
+        service: Service,
+        send: Callable[[bytes], None],
+        runner: Executor,
+        tls: QuicConfiguration,
+    ) -> "RequestFlow":
+        """Builds the flow of one caller.
+
+        Args:
+            service: the service that the flow belongs to.
+            send: sends a datagram to the caller.
+            runner: runs the requests.
+            tls: what load_server_tls returned.
+        """
+        return cls(service, send, runner, tls)
+
+    @property
+    def open_requests(self) -> int:
+        """Requests without a complete answer."""
+        return len(self._requests)
+
+    def deliver(self, payload: bytes, now: float) -> None:
+        """Takes a datagram of the caller, in any order and any number of times.
+
+        Args:
+            payload: the datagram.
+            now: seconds, time.monotonic.
+        """
+        self._inbox.append((payload, now))
+        self._wake.set()
+
+    def drain(self) -> None:
+        """Refuses new requests; run() returns once the open ones are done."""
+        self._draining = True
+        self._wake.set()
+
+    def describe(self, now: float) -> dict[str, Any]:
+        """Returns the flow's state as JSON types."""
+        return {
+            "service": self._service.id,
+            "protocol": self._service.protocol.value,
+            "established": self._http is not None,
+            "draining": self._draining,
+            "open_requests": self.open_requests,
+            "requests": self._total,
+            "idle_s": round(now - self._active, 3),
+        }
+
+    async def run(self) -> None:
+        """Serves the connection until it ends."""
+        try:
+            async with anyio.create_task_group() as group:
+                while not self._ended:
+                    await self._wait()
+                    self._receive()
+                    self._handle_events(group)
+                    self._check_drain()
+                    self._transmit()
+                group.cancel_scope.cancel()
+        finally:
+            self._close()
+
+    async def _wait(self) -> None:
+        delay = max(0.0, self._find_timer() - self._clock())
+        with anyio.move_on_after(delay):
+            await self._wake.wait()
+        self._wake = anyio.Event()
+
+    def _find_timer(self) -> float:
+        timer = self._active + HANDSHAKE_TIMEOUT_S
+        if self._quic is not None:
+            timer = self._quic.get_timer() or timer
+        if self._http is None:
+            timer = min(timer, self._active + HANDSHAKE_TIMEOUT_S)
+        if self._draining and not self._requests:
+            timer = min(timer, self._active + LINGER_S)
+        return timer
+
+    def _receive(self) -> None:
+        # All waiting packets are read before a task starts, so that a
+        # cancellation that arrived behind its request prevents the run.
+        while self._inbox:
+            payload, now = self._inbox.popleft()
+            if self._quic is None and not self._accept(payload):
+                continue
+            self._active = max(self._active, now)
+            self._quic.receive_datagram(payload, PATH, now)
+        now = self._clock()
+        if self._quic is not None:
+            timer = self._quic.get_timer()
+            if timer is not None and now >= timer:
+                self._quic.handle_timer(now)
+        if self._http is None and now >= self._active + HANDSHAKE_TIMEOUT_S:
+            self._ended = True
+
+    def _accept(self, payload: bytes) -> bool:
+        """Creates the connection if the packet may begin one."""
+        try:
+            header = pull_quic_header(
+                Buffer(data=payload),
+                host_cid_length=self._tls.connection_id_length,
+            )
+        except ValueError:
+            return False
+        if header.packet_type != QuicPacketType.INITIAL:
+            return False
+        if header.version not in self._tls.supported_versions:
+            return False
+        self._quic = QuicConnection(
+            configuration=self._tls,
+            original_destination_connection_id=header.destination_cid,
+        )
+        return True
+
+    def _handle_events(self, group: TaskGroup) -> None:
+        if self._quic is None:
+            return
+        while (event := self._quic.next_event()) is not None:
+            match event:
+                case events.ProtocolNegotiated():
+                    self._http = H3Connection(self._quic)
+                case events.ConnectionTerminated():
+                    self._ended = True
+                case events.StreamReset() | events.StopSendingReceived():
+                    self._cancel(event.stream_id)
+            if self._http is None:
+                continue
+            for http_event in self._http.handle_event(event):
+                self._handle_http(http_event, group)
+
+    def _handle_http(self, event: H3Event, group: TaskGroup) -> None:
+        match event:
+            case HeadersReceived(stream_id=stream):
+                if stream not in self._requests and stream >= 0:
+                    self._open(stream, tuple(event.headers), group)
+            case DataReceived(stream_id=stream):
+                self._take_body(stream, event.data or b"")
+            case _:
+                return
+        request = self._requests.get(stream)
+        if event.stream_ended and request is not None:
+            request.complete.set()
+
+    def _open(self, stream: int, headers: Headers, group: TaskGroup) -> None:
+        request = _Request(headers, self._clock())
+        if self._draining:
+            request.refused = "draining"
+            request.complete.set()
+        self._next_stream = max(self._next_stream, stream + 4)
+        self._requests[stream] = request
+        self._total += 1
+        group.start_soon(self._serve, stream, request)
+
+    def _take_body(self, stream: int, data: bytes) -> None:
+        request = self._requests.get(stream)
+        if request is None or request.refused:
+            return
+        self._body_bytes += len(data)
+        request.body += data
+        if (
+            len(request.body) > MAX_BODY_BYTES
+            or self._body_bytes > MAX_BODIES_BYTES
+        ):
+            request.refused = "body-too-large"
+            request.complete.set()
+
+    def _cancel(self, stream: int) -> None:
+        request = self._requests.get(stream)
+        if request is None:
+            return
+        request.scope.cancel()
+        self._quic.reset_stream(stream, H3_REQUEST_CANCELLED)
+
+    async def _serve(self, stream: int, request: _Request) -> None:
+        result = None
+        try:
+            with request.scope:
+                result = await self._execute(request)
+        finally:
+            self._body_bytes -= len(request.body)
+            del self._requests[stream]
+            self._active = max(self._active, self._clock())
+            self._wake.set()
+        if result is not None and not request.scope.cancel_called:
+            self._respond(stream, result)
+
+    async def _execute(self, request: _Request) -> WorkResult:
+        with anyio.move_on_after(BODY_TIMEOUT_S):
+            await request.complete.wait()
+        if not request.complete.is_set():
+            return refuse("body-incomplete")
+        if request.refused:
+            return refuse(request.refused)
+        work = make_work(
+            self._service, request.headers, bytes(request.body), request.arrived
+        )
+        if isinstance(work, WorkResult):
+            return work
+        try:
+            return await self._runner.execute(work, self._clock())
+        except Exception:
+            # One faulty request must not end the others of its connection.
+            _log.exception("streams: request %s failed", work.id)
+            return lose("internal-error")
+
+    def _respond(self, stream: int, result: WorkResult) -> None:
+        if self._ended:
+            return
+        body = result.body
+        headers = encode_result(result)
+        self._http.send_headers(stream, headers, end_stream=not body)
+        if body:
+            self._http.send_data(stream, body, end_stream=True)
+
+    def _check_drain(self) -> None:
+        if not self._draining or self._ended:
+            return
+        if self._http is not None and not self._goaway_sent:
+            self._goaway_sent = True
+            frame = encode_goaway(self._next_stream)
+            self._quic.send_stream_data(SERVER_CONTROL_STREAM, frame)
+        if self._requests or self._clock() < self._active + LINGER_S:
+            return
+        self._ended = True
+
+    def _transmit(self) -> None:
+        if self._quic is None:
+            return
+        for payload, _ in self._quic.datagrams_to_send(self._clock()):
+            self._send(payload)
+
+    def _close(self) -> None:
+        """Tells the caller, unless the connection has ended by itself."""
+        self._ended = True
+        if self._quic is not None:
+            self._quic.close(error_code=H3_NO_ERROR)
+            self._transmit()
