--- /dev/null
+++ b/jujuberun/backend.py
@@ -0,0 +1,154 @@
+"""HTTP/1.1 connections to the target beside the agent."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import anyio
+import httpx
+
+from jujuberun.ids import Address, Outcome
+from jujuberun.quic import HEADER_DEADLINE, HEADER_REQUEST_ID
+from jujuberun.work import Work, WorkResult, lose, refuse
+
+CONNECT_TIMEOUT_S = 1.0  # the target is on loopback
+KEEPALIVE_S = 5.0  # idle connections older than this are not used again
+MAX_ANSWER_BYTES = 8 << 20
+RETRY_AFTER_UNREACHABLE_S = 1.0
+
+
+class EvidenceKind(Enum):
+    """What an exchange shows about the target's health."""
+
+    ANSWER = "answer"
+    ERROR = "error"  # an answer with status 5xx other than 503
+    REFUSAL = "refusal"  # no connection, or status 429 or 503
+    BROKEN = "broken"  # the connection ended before the answer was whole
+    SILENCE = "silence"  # the deadline passed without an answer
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """One exchange with the target.
+
+    Attributes:
+        kind: what happened.
+        seconds: time from the request to the end of the exchange.
+    """
+
+    kind: EvidenceKind
+    seconds: float
+
+
+class Backend:
+    """Passes requests to one target."""
+
+    def __init__(
+        self,
+        address: Address,
+        note: Callable[[Evidence, float], None] = lambda evidence, now: None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._address = address
+        self._note = note
+        self._clock = clock
+        # Admission bounds the requests in progress, so the pool has no limit.
+        limits = httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=64,
+            keepalive_expiry=KEEPALIVE_S,
+        )
+        timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S)
+        self._client = httpx.AsyncClient(
+            limits=limits, timeout=timeout, trust_env=False
+        )
+
+    async def call(self, work: Work, timeout: float) -> WorkResult:
+        """Passes a request on and waits for the whole answer.
+
+        Cancelling the call, like the timeout, closes the connection, which
+        tells the target to stop.
+
+        Args:
+            work: the request.
+            timeout: seconds.
+
+        Returns:
+            ANSWERED with the whole answer, NOT_RUN when no byte was sent, or
+            UNKNOWN.
+        """
+        try:
+            request = self._make_request(work, timeout)
+        except (httpx.InvalidURL, ValueError):
+            return refuse("bad-request-line")
+        started = self._clock()
+        result = lose("deadline")
+        kind = EvidenceKind.SILENCE
+        with anyio.move_on_after(timeout):
+            result, kind = await self._exchange(request)
+        now = self._clock()
+        self._note(Evidence(kind, now - started), now)
+        return result
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._client.aclose()
+
+    def _make_request(self, work: Work, timeout: float) -> httpx.Request:
+        host, port = self._address
+        if not work.path.startswith("/") or not work.method.isalpha():
+            raise ValueError("no path or method")
+        # A Request built here has no fields of the client's own.
+        return httpx.Request(
+            work.method,
+            httpx.URL(
+                scheme="http",
+                host=host,
+                port=port,
+                raw_path=work.path.encode("ascii"),
+            ),
+            headers=[
+                *work.headers,
+                (HEADER_REQUEST_ID, work.id.encode("ascii")),
+                (HEADER_DEADLINE, b"%d" % (timeout * 1000)),
+            ],
+            content=work.body or None,
+        )
+
+    async def _exchange(
+        self, request: httpx.Request
+    ) -> tuple[WorkResult, EvidenceKind]:
+        try:
+            response = await self._client.send(request, stream=True)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+            result = refuse("target-unreachable", RETRY_AFTER_UNREACHABLE_S)
+            return result, EvidenceKind.REFUSAL
+        except httpx.HTTPError:
+            return lose("target-broke-off"), EvidenceKind.BROKEN
+        body = bytearray()
+        try:
+            async for chunk in response.aiter_raw():
+                body += chunk
+                if len(body) > MAX_ANSWER_BYTES:
+                    return lose("answer-too-large"), EvidenceKind.ANSWER
+        except httpx.HTTPError:
+            return lose("target-broke-off"), EvidenceKind.BROKEN
+        finally:
+            with anyio.CancelScope(shield=True):
+                await response.aclose()
+        result = WorkResult(
+            Outcome.ANSWERED,
+            status=response.status_code,
+            body=bytes(body),
+            headers=tuple(
+                (name.lower(), value) for name, value in response.headers.raw
+            ),
+        )
+        return result, _classify(response.status_code)
+
+
+def _classify(status: int) -> EvidenceKind:
+    if status in (429, 503):
+        return EvidenceKind.REFUSAL
+    return EvidenceKind.ERROR if status >= 500 else EvidenceKind.ANSWER
--- /dev/null
+++ b/jujuberun/runner.py
@@ -0,0 +1,370 @@
+"""Passes requests to the target, each at most once."""
+
+import time
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, Protocol
+
+import anyio
+from anyio.abc import TaskStatus
+
+from jujuberun.backend import Backend, Evidence
+from jujuberun.ids import Outcome
+from jujuberun.manifest import Target
+from jujuberun.register import First, Register, Second, Settled
+from jujuberun.work import Work, WorkResult, lose, refuse
+
+PUMP_S = 0.05  # admission may let a request go on by time alone
+MAX_OFFERS = 2  # times that one request is handed to a peer
+OFFER_PAUSE_S = 0.1  # after no peer had a free slot
+
+
+class Admission(Protocol):
+    """Decides which request gets a slot; see module admission.
+
+    admit returns an instance of its classes Run, Queue or Refuse.
+    """
+
+    def admit(self, request: Any, now: float) -> Any:
+        """Returns Run, Queue or Refuse(reason, retry_after) for a request."""
+
+    def finish(self, request: Any, now: float, outcome: Outcome) -> None:
+        """Frees the slot of a request that admit or take_next let run."""
+
+    def take_next(self, now: float) -> Any | None:
+        """Returns a queued request that now has a slot, or None."""
+
+
+class Reservation(Protocol):
+    """A slot at a peer, held for a short time."""
+
+
+class Offload(Protocol):
+    """Hands requests that have not started to peers; see module offload."""
+
+    async def reserve(self, work: Work) -> Reservation | None:
+        """Returns a slot at a peer, or None."""
+
+    async def hand_on(self, reservation: Reservation, work: Work) -> WorkResult:
+        """Hands the request on and returns what became of it."""
+
+    def release(self, reservation: Reservation) -> None:
+        """Gives the slot back."""
+
+
+class _State(Enum):
+    WAITING = "waiting"  # in the queue of admission
+    STARTED = "started"  # has a slot
+    HANDED = "handed"  # given to a peer
+    GONE = "gone"  # cancelled or expired while it waited
+
+
+class _Turn:
+    """A request on its way through admission.
+
+    Attributes:
+        work: the request.
+        state: where it is.
+        go: set when the state leaves WAITING or there is a result.
+        queued: whether admission still has it in its queue.
+        result: the result from a peer.
+        begun: whether a target may have received it.
+        lost: whether a peer may have run it without a reply.
+    """
+
+    __slots__ = ("begun", "go", "lost", "queued", "result", "state", "work")
+
+    def __init__(self, work: Work) -> None:
+        self.work = work
+        self.state = _State.WAITING
+        self.go = anyio.Event()
+        self.queued = False
+        self.result: WorkResult | None = None
+        self.begun = False
+        self.lost = False
+
+
+class Runner:
+    """The part "runner" of an agent.
+
+    Attributes:
+        slots: requests that the target runs at the same time.
+        running: requests and reservations that have a slot.
+        draining: True once no peer may reserve a slot any more.
+    """
+
+    name = "runner"
+
+    def __init__(
+        self,
+        slots: int,
+        admission: Admission,
+        backend: Backend,
+        offload: Offload | None = None,
+        register: Register | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.slots = slots
+        self.running = 0
+        self.draining = False
+        self._admission = admission
+        self._backend = backend
+        self._offload = offload
+        self._register = register or Register()
+        self._clock = clock
+        self._waiting: dict[str, _Turn] = {}
+        self._counts = dict.fromkeys(Outcome, 0)
+
+    @classmethod
+    def from_config(
+        cls,
+        target: Target,
+        admission: Admission,
+        note: Callable[[Evidence, float], None],
+    ) -> "Runner":
+        """Builds the runner of one target.
+
+        Args:
+            target: the target beside this agent.
+            admission: decides which request gets a slot.
+            note: is told of each exchange with the target, with the time.
+        """
+        return cls(target.slots, admission, Backend(target.address, note))
+
+    def use_offload(self, offload: Offload) -> None:
+        """Hands queued requests to peers from now on."""
+        self._offload = offload
+
+    async def run(
+        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Lets queued requests go on as time passes, until cancelled."""
+        task_status.started()
+        try:
+            while True:
+                await anyio.sleep(PUMP_S)
+                if self._waiting:
+                    self._pump()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._backend.close()
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns slots, queue and counts as JSON types."""
+        return {
+            "slots": self.slots,
+            "running": self.running,
+            "waiting": len(self._waiting),
+            "draining": self.draining,
+            "outcomes": {k.value: v for k, v in self._counts.items()},
+            "register": self._register.describe(),
+        }
+
+    async def execute(self, work: Work, now: float) -> WorkResult:
+        """Runs a request at most once.
+
+        Cancelling the call withdraws the request: it leaves the queue, or the
+        connection to the target is closed.
+
+        Args:
+            work: the request.
+            now: seconds, monotonic.
+
+        Returns:
+            What became of it; NOT_RUN only when no target has received it.
+        """
+        turn = _Turn(work)
+        return await self._claim(turn, now, lambda: self._take_turn(turn, now))
+
+    def hold(self, placeholder: Work, now: float) -> bool:
+        """Holds an idle slot for a request of a peer.
+
+        Args:
+            placeholder: stands for the request in admission.
+            now: seconds, monotonic.
+
+        Returns:
+            Whether a slot is held; release or execute_held frees it.
+        """
+        if self.draining or self._waiting or self.running >= self.slots:
+            return False
+        if not _lets_run(self._admission.admit(placeholder, now)):
+            return False
+        self.running += 1
+        return True
+
+    def release(self, placeholder: Work, now: float) -> None:
+        """Frees a slot that hold gave."""
+        self._free(placeholder, now, Outcome.NOT_RUN)
+
+    async def execute_held(
+        self, work: Work, placeholder: Work, now: float
+    ) -> WorkResult:
+        """Runs a peer's request in the slot of its placeholder."""
+        turn = _Turn(work)
+        result = None
+        try:
+            result = await self._claim(turn, now, lambda: self._call(turn))
+            return result
+        finally:
+            outcome = result.outcome if result else Outcome.UNKNOWN
+            self._free(placeholder, self._clock(), outcome)
+
+    async def _claim(
+        self, turn: _Turn, now: float, act: Callable[[], Any]
+    ) -> WorkResult:
+        match self._register.claim(turn.work, now):
+            case Settled(result):
+                return result
+            case Second(entry):
+                return await self._join(entry, turn.work)
+            case First(entry):
+                pass
+        result = None
+        try:
+            result = await act()
+            return result
+        finally:
+            if result is None:
+                result = (
+                    lose("cancelled") if turn.begun else refuse("cancelled")
+                )
+            self._counts[result.outcome] += 1
+            self._register.finish(entry, result, self._clock())
+
+    async def _join(self, entry: Any, work: Work) -> WorkResult:
+        with anyio.move_on_after(work.deadline - self._clock()):
+            await entry.done.wait()
+        return entry.result or lose("deadline")
+
+    async def _take_turn(self, turn: _Turn, now: float) -> WorkResult:
+        work = turn.work
+        decision = self._admission.admit(work, now)
+        if hasattr(decision, "retry_after"):
+            return refuse(decision.reason, decision.retry_after)
+        if _lets_run(decision):
+            turn.state = _State.STARTED
+            self.running += 1
+        else:
+            turn.queued = True
+            self._waiting[work.id] = turn
+        result = None
+        try:
+            if turn.state is _State.WAITING:
+                result = await self._wait(turn)
+            if result is None:
+                result = await self._call(turn)
+            if turn.lost and result.outcome is Outcome.NOT_RUN:
+                # Not run here, but a peer may have run it before.
+                result = lose(result.reason)
+            return result
+        finally:
+            self._leave(turn, result)
+
+    async def _wait(self, turn: _Turn) -> WorkResult | None:
+        """Waits for a slot; a result says that none is needed any more."""
+        with anyio.move_on_after(turn.work.deadline - self._clock()):
+            if self._offload is None:
+                await turn.go.wait()
+            else:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._offer, turn)
+                    await turn.go.wait()
+                    group.cancel_scope.cancel()
+        if turn.result is not None:
+            return turn.result
+        match turn.state:
+            case _State.STARTED:
+                return None
+            case _State.HANDED:
+                return lose("deadline")
+            case _:
+                turn.state = _State.GONE
+                return refuse("deadline")
+
+    async def _offer(self, turn: _Turn) -> None:
+        """Hands the request to a peer unless a slot here is free first."""
+        offers = 0
+        while turn.state is _State.WAITING and offers < MAX_OFFERS:
+            reservation = await self._offload.reserve(turn.work)
+            if reservation is None:
+                await anyio.sleep(OFFER_PAUSE_S)
+                continue
+            if turn.state is not _State.WAITING:
+                self._offload.release(reservation)
+                return
+            offers += 1
+            turn.state = _State.HANDED
+            turn.begun = True
+            result = await self._offload.hand_on(reservation, turn.work)
+            if not self._resume(turn, result):
+                turn.result = result
+                turn.go.set()
+
+    def _resume(self, turn: _Turn, result: WorkResult) -> bool:
+        """Returns whether the request waits here again after a peer's reply."""
+        work = turn.work
+        match result.outcome:
+            case Outcome.ANSWERED:
+                return False
+            case Outcome.NOT_RUN:
+                turn.begun = turn.lost
+            case Outcome.UNKNOWN:
+                turn.lost = True
+                if not work.idempotent:
+                    return False
+        turn.state = _State.WAITING
+        if not turn.queued:
+            decision = self._admission.admit(work, self._clock())
+            if hasattr(decision, "retry_after"):
+                return False
+            turn.queued = True
+            if _lets_run(decision):
+                turn.queued = False
+                self._start(turn)
+        return True
+
+    async def _call(self, turn: _Turn) -> WorkResult:
+        remaining = turn.work.deadline - self._clock()
+        if remaining <= 0:
+            return refuse("deadline")
+        turn.begun = True
+        return await self._backend.call(turn.work, remaining)
+
+    def _leave(self, turn: _Turn, result: WorkResult | None) -> None:
+        self._waiting.pop(turn.work.id, None)
+        if turn.state is not _State.STARTED:
+            turn.state = _State.GONE
+            return
+        outcome = result.outcome if result else Outcome.UNKNOWN
+        self._free(turn.work, self._clock(), outcome)
+
+    def _free(self, holder: Work, now: float, outcome: Outcome) -> None:
+        self.running -= 1
+        self._admission.finish(holder, now, outcome)
+        self._pump()
+
+    def _start(self, turn: _Turn) -> None:
+        turn.state = _State.STARTED
+        self.running += 1
+        turn.go.set()
+
+    def _pump(self) -> None:
+        """Starts queued requests while admission has slots for them."""
+        while True:
+            now = self._clock()
+            request = self._admission.take_next(now)
+            if request is None:
+                return
+            turn = self._waiting.get(request.id)
+            if turn is not None:
+                turn.queued = False
+            if turn is None or turn.state is not _State.WAITING:
+                # It was cancelled, expired or handed on: the slot is free.
+                self._admission.finish(request, now, Outcome.NOT_RUN)
+                continue
+            self._start(turn)
+
+
+def _lets_run(decision: Any) -> bool:
+    return type(decision).__name__ == "Run"
--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -32,6 +32,7 @@
     module_name="jujuberun_thrift",
 )
 Answer = messages.Answer
+Cancel = messages.Cancel
 Claim = messages.Claim
 ClaimReply = messages.ClaimReply
 Envelope = messages.Envelope
@@ -44,7 +45,11 @@
 ProbeReply = messages.ProbeReply
 Register = messages.Register
 Release = messages.Release
+Reserve = messages.Reserve
+ReserveReply = messages.ReserveReply
 Reset = messages.Reset
+Run = messages.Run
+RunReply = messages.RunReply
 Status = messages.Status
 
 _FIELDS = {
