--- a/jujuberun/offload.py
+++ b/jujuberun/offload.py
@@ -12,11 +12,19 @@
 from anyio.abc import TaskStatus
 
 from jujuberun.errors import LinkError
-from jujuberun.ids import Address, Outcome, RequestId, ServiceId
+from jujuberun.ids import Address, RequestId, ServiceId
 from jujuberun.manifest import Service
-from jujuberun.quic import Headers
-from jujuberun.wire import Cancel, Reserve, ReserveReply, Run, RunReply
-from jujuberun.work import Work, WorkResult, lose, refuse
+from jujuberun.wire import Cancel, Reserve, ReserveReply
+from jujuberun.work import (
+    Work,
+    WorkResult,
+    decode_reply,
+    decode_work,
+    encode_reply,
+    encode_work,
+    lose,
+    refuse,
+)
 
 RESERVATION_S = 0.2  # a slot held longer than this costs more than it saves
 REPLY_TIMEOUT_S = 0.1
@@ -332,78 +340,3 @@
         self._ended[token] = may_have_run
         if len(self._ended) > MAX_TOKENS:
             self._ended.popitem(last=False)
-
-
-def encode_work(token: int, work: Work, timeout: float) -> Any:
-    """Returns the Run message of a request.
-
-    Args:
-        token: of the reservation.
-        work: the request.
-        timeout: seconds until its deadline.
-    """
-    headers = [
-        part.decode("latin-1") for field in work.headers for part in field
-    ]
-    return Run(
-        token,
-        work.service,
-        work.id,
-        work.method,
-        work.path,
-        work.idempotent,
-        round(timeout * 1000),
-        work.body,
-        headers,
-    )
-
-
-def decode_work(message: Any, service: Service, now: float) -> Work:
-    """Returns the request of a Run message that arrived at a time."""
-    return Work(
-        id=RequestId(message.request_id),
-        service=service.id,
-        urgency=service.urgency,
-        deadline=now + message.timeout / 1000,
-        idempotent=bool(message.idempotent),
-        arrived=now,
-        method=message.method,
-        path=message.path,
-        headers=_decode_headers(message.headers),
-        body=message.body or b"",
-    )
-
-
-def encode_reply(result: WorkResult) -> Any:
-    """Returns the RunReply of a result."""
-    headers = [
-        part.decode("latin-1") for field in result.headers for part in field
-    ]
-    return RunReply(
-        result.outcome.value,
-        result.status,
-        result.body,
-        headers,
-        result.reason,
-        round(result.retry_after * 1000),
-    )
-
-
-def decode_reply(reply: Any) -> WorkResult:
-    """Returns the result in a RunReply, UNKNOWN when it is malformed."""
-    try:
-        return WorkResult(
-            Outcome(reply.outcome),
-            reply.status or 0,
-            reply.body or b"",
-            _decode_headers(reply.headers),
-            reply.reason or "",
-            (reply.retry_after or 0) / 1000,
-        )
-    except (AttributeError, ValueError):
-        return lose("peer-reply-malformed")
-
-
-def _decode_headers(parts: Sequence[str] | None) -> Headers:
-    encoded = [part.encode("latin-1") for part in parts or ()]
-    return tuple(zip(encoded[::2], encoded[1::2], strict=False))
--- a/jujuberun/quic.py
+++ b/jujuberun/quic.py
@@ -9,6 +9,7 @@
 from jujuberun.errors import RequestError
 from jujuberun.ids import Address
 
+MIN_WAIT_S = 0.001  # a timer that is due at once must not keep the loop busy
 IDLE_TIMEOUT_S = 60.0  # callers send a ping well before
 MAX_STREAM_BYTES = 1 << 20  # flow control window of a stream
 MAX_CONNECTION_BYTES = 4 << 20  # flow control window of a connection
--- a/jujuberun/streams.py
+++ b/jujuberun/streams.py
@@ -20,6 +20,7 @@
 from jujuberun.quic import (
     H3_NO_ERROR,
     H3_REQUEST_CANCELLED,
+    MIN_WAIT_S,
     PATH,
     SERVER_CONTROL_STREAM,
     Headers,
@@ -172,7 +173,7 @@
             self._close()
 
     async def _wait(self) -> None:
-        delay = max(0.0, self._find_timer() - self._clock())
+        delay = max(MIN_WAIT_S, self._find_timer() - self._clock())
         with anyio.move_on_after(delay):
             await self._wake.wait()
         self._wake = anyio.Event()
--- a/jujuberun/work.py
+++ b/jujuberun/work.py
@@ -1,6 +1,8 @@
 """A request on its way through the agent, and what became of it."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from jujuberun.ids import Outcome, RequestId, ServiceId, Urgency
 from jujuberun.manifest import Service
@@ -15,6 +17,7 @@
     Headers,
     select_headers,
 )
+from jujuberun.wire import Run, RunReply
 
 DEFAULT_DEADLINE_S = 30.0
 MAX_DEADLINE_S = 3600.0
@@ -138,3 +141,104 @@
         headers.append((HEADER_RETRY_AFTER, retry_after))
     headers.extend(select_headers(result.headers))
     return headers
+
+
+def encode_work(token: int, work: Work, timeout: float) -> Any:
+    """Returns the Run message of a request.
+
+    Args:
+        token: of the reservation.
+        work: the request.
+        timeout: seconds until its deadline.
+    """
+    headers = [
+        part.decode("latin-1") for field in work.headers for part in field
+    ]
+    return Run(
+        token,
+        work.service,
+        work.id,
+        work.method,
+        work.path,
+        work.idempotent,
+        round(timeout * 1000),
+        work.body,
+        headers,
+    )
+
+
+def decode_work(message: Any, service: Service, now: float) -> Work:
+    """Returns the request of a Run message that arrived at a time."""
+    return Work(
+        id=RequestId(message.request_id),
+        service=service.id,
+        urgency=service.urgency,
+        deadline=now + message.timeout / 1000,
+        idempotent=bool(message.idempotent),
+        arrived=now,
+        method=message.method,
+        path=message.path,
+        headers=_decode_headers(message.headers),
+        body=message.body or b"",
+    )
+
+
+def encode_reply(result: WorkResult) -> Any:
+    """Returns the RunReply of a result."""
+    headers = [
+        part.decode("latin-1") for field in result.headers for part in field
+    ]
+    return RunReply(
+        result.outcome.value,
+        result.status,
+        result.body,
+        headers,
+        result.reason,
+        round(result.retry_after * 1000),
+    )
+
+
+def decode_reply(reply: Any) -> WorkResult:
+    """Returns the result in a RunReply, UNKNOWN when it is malformed."""
+    try:
+        return WorkResult(
+            Outcome(reply.outcome),
+            reply.status or 0,
+            reply.body or b"",
+            _decode_headers(reply.headers),
+            reply.reason or "",
+            (reply.retry_after or 0) / 1000,
+        )
+    except (AttributeError, ValueError):
+        return lose("peer-reply-malformed")
+
+
+def _decode_headers(parts: Sequence[str] | None) -> Headers:
+    encoded = [part.encode("latin-1") for part in parts or ()]
+    return tuple(zip(encoded[::2], encoded[1::2], strict=False))
+
+
+def decode_result(headers: Headers, body: bytes) -> WorkResult:
+    """Returns the result in an agent's answer.
+
+    Args:
+        headers: all header fields.
+        body: whole body.
+    """
+    fields = dict(headers)
+    status = fields.get(b":status", b"0")
+    retry_after = fields.get(HEADER_RETRY_AFTER, b"0")
+    try:
+        outcome = Outcome(fields.get(HEADER_OUTCOME, b"").decode("ascii"))
+    except ValueError:
+        return lose("malformed-answer")
+    if not status.isdigit() or not retry_after.isdigit():
+        return lose("malformed-answer")
+    return WorkResult(
+        outcome,
+        status=int(status) if outcome is Outcome.ANSWERED else 0,
+        body=body,
+        headers=select_headers(headers),
+        reason=fields.get(HEADER_REASON, b"").decode("latin-1"),
+        retry_after=int(retry_after) / 1000,
+    )
--- /dev/null
+++ b/tests/requestpath.py
@@ -0,0 +1,192 @@
+"""In-memory path of datagrams between callers and flows, on a virtual clock."""
+
+import heapq
+import random
+
+import anyio
+from trio.testing import MockClock
+
+from jujuberun.caller import Caller
+from jujuberun.ids import Outcome, Protocol, ServiceId, Urgency
+from jujuberun.manifest import FirstPacket, Service
+from jujuberun.quic import make_client_tls
+from jujuberun.standin_certificate import make_certificate
+from jujuberun.streams import RequestFlow
+from jujuberun.wire import make_reset
+from jujuberun.work import WorkResult
+
+CERTIFICATE = make_certificate()
+ADDRESS = ("192.0.2.1", 443)
+
+
+def make_service(name="meal-change"):
+    return Service(
+        ServiceId(name),
+        ADDRESS,
+        Urgency.NORMAL,
+        0.5,
+        Protocol.REQUEST,
+        FirstPacket.from_config("quic"),
+        (),
+    )
+
+
+def run_virtual(main):
+    """Runs a test on a clock that jumps over every wait."""
+    clock = MockClock(autojump_threshold=0)
+    return anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+
+class PlainBudget:
+    """A retry budget that allows a fixed number of retries."""
+
+    def __init__(self, retries=0):
+        self.left = retries
+
+    def record_request(self, now):
+        pass
+
+    def allow_retry(self, now):
+        self.left -= 1
+        return self.left >= 0
+
+    def choose_delay(self, attempt, rng):
+        return 0.01
+
+
+class Echo:
+    """An executor that answers with the body after some work."""
+
+    def __init__(self, work=0.0):
+        self.work = work
+        self.ran = []
+        self.cancelled = []
+
+    async def execute(self, work, now):
+        self.ran.append(work.id)
+        try:
+            await anyio.sleep(self.work)
+        except BaseException:
+            self.cancelled.append(work.id)
+            raise
+        return WorkResult(
+            Outcome.ANSWERED, 200, work.path.encode() + b" " + work.body
+        )
+
+
+class _PathPort:
+    """The caller's end of a path."""
+
+    def __init__(self, path, address):
+        self.path = path
+        self.address = address
+        self.inbox = []
+        self.wake = anyio.Event()
+
+    async def receive(self):
+        while not self.inbox:
+            self.wake = anyio.Event()
+            await self.wake.wait()
+        batch, self.inbox = self.inbox, []
+        return batch
+
+    def take(self, data):
+        self.inbox.append((data, ADDRESS))
+        self.wake.set()
+
+    def send(self, data, address):
+        self.path.carry(self.path.find_flow(self), data)
+        return True
+
+    def close(self):
+        pass
+
+
+class Path:
+    """Loses, duplicates and reorders datagrams by a fixed seed.
+
+    Attributes:
+        flows: the flow of each caller port.
+        silent: drops everything of the ports in it.
+        refuse: when set, reason of the reset that answers a new flow.
+    """
+
+    def __init__(self, group, executor, tls, seed=1, loss=0.0, chaos=0.0):
+        self.group = group
+        self.executor = executor
+        self.tls = tls
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.chaos = chaos
+        self.flows = {}
+        self.ports = []
+        self.silent = set()
+        self.refuse = ""
+        self.queue = []
+        self.count = 0
+        self.wake = anyio.Event()
+        group.start_soon(self.run)
+
+    def open_port(self, address):
+        port = _PathPort(self, ("198.51.100.1", 1024 + len(self.ports)))
+        self.ports.append(port)
+        return port
+
+    def find_flow(self, port):
+        def take(data):
+            if port in self.silent:
+                return
+            flow = self.flows.get(port)
+            if flow is None and self.refuse:
+                reply = make_reset(self.refuse, 50, data)
+                self.carry(port.take, reply)
+                return
+            if flow is None:
+                flow = self.flows[port] = RequestFlow(
+                    make_service(),
+                    lambda data: self.carry(self.find_port(port), data),
+                    self.executor,
+                    self.tls,
+                    anyio.current_time,
+                )
+                self.group.start_soon(flow.run)
+            flow.deliver(data, anyio.current_time())
+
+        return take
+
+    def find_port(self, port):
+        def take(data):
+            if port not in self.silent:
+                port.take(data)
+
+        return take
+
+    def carry(self, take, data):
+        copies = 2 if self.rng.random() < self.chaos else 1
+        for _ in range(copies):
+            if self.rng.random() < self.loss:
+                continue
+            delay = 0.001 + self.rng.random() * 0.02 * (self.chaos > 0)
+            self.count += 1
+            at = anyio.current_time() + delay
+            heapq.heappush(self.queue, (at, self.count, take, data))
+        self.wake.set()
+
+    async def run(self):
+        while True:
+            self.wake = anyio.Event()
+            due = self.queue[0][0] if self.queue else float("inf")
+            with anyio.CancelScope(deadline=due):
+                await self.wake.wait()
+            while self.queue and self.queue[0][0] <= anyio.current_time():
+                _, _, take, data = heapq.heappop(self.queue)
+                take(data)
+
+    def make_caller(self, retries=0):
+        return Caller(
+            make_client_tls(CERTIFICATE.name, CERTIFICATE.certificate),
+            PlainBudget(retries),
+            self.open_port,
+            random.Random(7),
+            anyio.current_time,
+        )
