--- a/jujuberun/connection.py
+++ b/jujuberun/connection.py
@@ -57,7 +57,7 @@
 
     WAIT = "wait"
     PROBE = "probe"
-    SUSPECT = "suspect"
+    SUSPECT = "suspect"  # probe again, and send no new requests
     DEAD = "dead"
 
 
@@ -67,11 +67,14 @@
 
     Attributes:
         heard: when a datagram last arrived, seconds, monotonic.
-        probed: when a probe was sent that nothing has followed, or None.
+        probed: when the first probe was sent that nothing has followed, or
+            None.
+        last: when the last probe was sent.
     """
 
     heard: float
     probed: float | None = None
+    last: float = 0.0
 
     def hear(self, now: float) -> None:
         """Records a datagram."""
@@ -85,22 +88,23 @@
             now: seconds, monotonic.
             busy: whether requests are open.
         """
-        if self.probed is not None:
-            silent = now - self.probed
-            if silent >= DEAD_S:
-                return Silence.DEAD
-            return Silence.SUSPECT if silent >= SUSPECT_S else Silence.WAIT
-        if now >= self.heard + (PROBE_S if busy else KEEP_ALIVE_S):
-            self.probed = now
+        if self.probed is None:
+            if now < self.heard + (PROBE_S if busy else KEEP_ALIVE_S):
+                return Silence.WAIT
+            self.probed = self.last = now
             return Silence.PROBE
-        return Silence.WAIT
-
-    def find_timer(self, now: float, busy: bool) -> float:
+        if now >= self.probed + DEAD_S:
+            return Silence.DEAD
+        if now < self.last + SUSPECT_S:
+            return Silence.WAIT
+        self.last = now
+        return Silence.SUSPECT
+
+    def find_timer(self, busy: bool) -> float:
         """Returns when decide next has news, seconds, monotonic."""
         if self.probed is None:
             return self.heard + (PROBE_S if busy else KEEP_ALIVE_S)
-        suspect = self.probed + SUSPECT_S
-        return suspect if now < suspect else self.probed + DEAD_S
+        return min(self.last + SUSPECT_S, self.probed + DEAD_S)
 
 
 class _Call:
@@ -254,7 +258,7 @@
         timer = self._quic.get_timer() or now + KEEP_ALIVE_S
         if self.state is State.OPENING:
             return min(timer, self._opened + OPEN_TIMEOUT_S)
-        return min(timer, self._watch.find_timer(now, bool(self._calls)))
+        return min(timer, self._watch.find_timer(bool(self._calls)))
 
     def _step(self, packets: list[tuple[bytes, Address]], timer: float) -> None:
         now = self._clock()
@@ -295,7 +299,10 @@
                 self._quic.send_ping(0)
             case Silence.SUSPECT:
                 # Its answers are still taken, but new requests go elsewhere.
+                # QUIC's own probes back off beyond DEAD_S, so that a peer
+                # that resumes after 4 s would not be noticed in time.
                 self.state = State.LEAVING
+                self._quic.send_ping(0)
             case Silence.DEAD:
                 self._lose("silent")
 
--- /dev/null
+++ b/tests/fifo.py
@@ -0,0 +1,51 @@
+"""Minimal admission: one queue, first in, first out."""
+
+from collections import deque
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Run:
+    pass
+
+
+@dataclass(frozen=True)
+class Queue:
+    pass
+
+
+@dataclass(frozen=True)
+class Refuse:
+    reason: str
+    retry_after: float
+
+
+class Fifo:
+    """Admits into slots, then into a bounded queue."""
+
+    def __init__(self, slots, room=8):
+        self.slots = slots
+        self.room = room
+        self.busy = 0
+        self.queue = deque()
+
+    def admit(self, request, now):
+        if request.deadline <= now:
+            return Refuse("deadline", 0.0)
+        if self.busy < self.slots:
+            self.busy += 1
+            return Run()
+        if len(self.queue) >= self.room:
+            return Refuse("overloaded", 0.25)
+        self.queue.append(request)
+        return Queue()
+
+    def finish(self, request, now, outcome):
+        self.busy -= 1
+        assert self.busy >= 0, "a slot was freed twice"
+
+    def take_next(self, now):
+        if not self.queue or self.busy >= self.slots:
+            return None
+        self.busy += 1
+        return self.queue.popleft()
--- /dev/null
+++ b/tests/test_caller.py
@@ -0,0 +1,182 @@
+import anyio
+from requestpath import ADDRESS, Echo
+from test_streams import run_with_path
+from testtools import TestCase
+from testtools.matchers import LessThan
+
+from jujuberun.caller import NotRunError, OutcomeUnknownError
+from jujuberun.connection import DEAD_S, PROBE_S, Silence, SilenceWatch
+from jujuberun.ids import Outcome
+from jujuberun.wire import make_reset
+from jujuberun.work import WorkResult, refuse
+
+
+class CallerTest(TestCase):
+    def test_refusal_before_the_handshake_is_not_run(self):
+        # Guards the cheap refusal of a flood: truthful, with retry-after.
+        async def act(path, caller, executor):
+            path.refuse = "overloaded"
+            result = await caller.request(ADDRESS, "GET", "/a")
+            self.assertEqual(Outcome.NOT_RUN, result.outcome)
+            self.assertEqual("reset-overloaded", result.reason)
+            self.assertEqual(0.05, result.retry_after)
+            self.assertRaises(NotRunError, result.check)
+            self.assertEqual([], executor.ran)
+
+        run_with_path(act)
+
+    def test_refused_work_is_tried_again(self):
+        # Guards against giving up, or retrying before retry-after.
+        async def act(path, caller, executor):
+            path.refuse = "overloaded"
+
+            async def recover():
+                await anyio.sleep(0.12)
+                path.refuse = ""
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(recover)
+                result = await caller.request(ADDRESS, "GET", "/a")
+            self.assertEqual(Outcome.ANSWERED, result.outcome)
+            self.assertEqual(4, result.attempts)
+
+        run_with_path(act, retries=5)
+
+    def test_reset_is_believed_only_with_a_quote(self):
+        # Guards against forged resets, and against ignoring true ones.
+        async def act(path, caller, executor):
+            results = []
+
+            async def call():
+                results.append(await caller.request(ADDRESS, "GET", "/a"))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(call)
+                await anyio.sleep(0.5)
+                (port,) = path.ports
+                port.take(make_reset("unknown-flow", 0, b"never sent"))
+                await anyio.sleep(0.5)
+                self.assertEqual([], results)
+                data = []
+                path.find_flow = lambda port: data.append
+                await anyio.sleep(2)
+                port.take(make_reset("unknown-flow", 0, data[-1]))
+                await anyio.sleep(0.1)
+                self.assertEqual(Outcome.UNKNOWN, results[0].outcome)
+                self.assertRaises(OutcomeUnknownError, results[0].check)
+
+        run_with_path(act, Echo(60.0))
+
+    def test_silent_connection_is_replaced_within_seconds(self):
+        # Guards against calls that hang on a connection gone silent, and
+        # against resending work that is not idempotent.
+        async def act(path, caller, executor):
+            await caller.request(ADDRESS, "GET", "/a")
+            path.silent.update(path.ports)
+            results = {}
+            began = anyio.current_time()
+
+            async def call(idempotent):
+                result = await caller.request(
+                    ADDRESS, "GET", "/b", idempotent=idempotent
+                )
+                results[idempotent] = (result, anyio.current_time() - began)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(call, False)
+                group.start_soon(call, True)
+                await anyio.sleep(2.5)
+                # A new call meanwhile does not wait for the verdict.
+                result = await caller.request(ADDRESS, "GET", "/c", timeout=1)
+                self.assertEqual(Outcome.ANSWERED, result.outcome)
+            plain, took = results[False]
+            self.assertEqual(Outcome.UNKNOWN, plain.outcome)
+            self.assertEqual(1, plain.attempts)
+            self.assertThat(took, LessThan(PROBE_S + DEAD_S + 0.5))
+            again, _ = results[True]
+            self.assertEqual(Outcome.ANSWERED, again.outcome)
+            self.assertEqual(2, again.attempts)
+
+        run_with_path(act, retries=5)
+
+    def test_short_pause_breaks_nothing(self):
+        # Guards against callers that give up before the daemons do.
+        async def act(path, caller, executor):
+            await caller.request(ADDRESS, "GET", "/a")
+            path.silent.update(path.ports)
+
+            async def recover():
+                await anyio.sleep(4)
+                path.silent.clear()
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(recover)
+                result = await caller.request(ADDRESS, "GET", "/b")
+            self.assertEqual(Outcome.ANSWERED, result.outcome)
+            self.assertEqual(2, len(executor.ran))
+
+        run_with_path(act)
+
+    def test_expired_call_is_unknown_and_withdrawn(self):
+        # Guards against an untrue "not run" after a timeout.
+        async def act(path, caller, executor):
+            result = await caller.request(ADDRESS, "GET", "/a", timeout=0.5)
+            self.assertEqual(Outcome.UNKNOWN, result.outcome)
+            await anyio.sleep(0.1)
+            self.assertEqual(1, len(executor.cancelled))
+
+        run_with_path(act, Echo(60.0))
+
+    def test_refusal_after_a_loss_stays_unknown(self):
+        # Guards R4: an idempotent call whose first attempt may have run must
+        # not end as "not run" because the second was refused.
+        class Fading(Echo):
+            async def execute(self, work, now):
+                self.ran.append(work.id)
+                if len(self.ran) == 1:
+                    return WorkResult(Outcome.UNKNOWN, reason="lost")
+                return refuse("overloaded")
+
+        async def act(path, caller, executor):
+            result = await caller.request(ADDRESS, "GET", "/a", idempotent=True)
+            self.assertEqual(2, result.attempts)
+            self.assertEqual(Outcome.UNKNOWN, result.outcome)
+            # The same id finds an attempt that is still in progress.
+            self.assertEqual(1, len(set(executor.ran)))
+
+        run_with_path(act, Fading(), retries=1)
+
+    def test_each_attempt_after_a_refusal_has_a_new_id(self):
+        # Guards R4: a refused id must never run, so a retry needs another.
+        class Refusing(Echo):
+            async def execute(self, work, now):
+                self.ran.append(work.id)
+                return refuse("overloaded")
+
+        async def act(path, caller, executor):
+            result = await caller.request(ADDRESS, "GET", "/a")
+            self.assertEqual(Outcome.NOT_RUN, result.outcome)
+            self.assertEqual(3, len(set(executor.ran)))
+
+        run_with_path(act, Refusing(), retries=2)
+
+
+class SilenceWatchTest(TestCase):
+    def test_decides_by_time_alone(self):
+        # Guards the order: probe, then suspect, then give up.
+        watch = SilenceWatch(heard=0.0)
+        decide = [
+            watch.decide(now, busy=True)
+            for now in (0.9, 1.0, 1.9, 2.0, 2.5, 3.0, 5.9, 6.0)
+        ]
+        expected = [Silence.WAIT, Silence.PROBE, Silence.WAIT, Silence.SUSPECT]
+        expected += [
+            Silence.WAIT,
+            Silence.SUSPECT,
+            Silence.SUSPECT,
+            Silence.DEAD,
+        ]
+        self.assertEqual(expected, decide)
+        watch.hear(6.0)
+        self.assertEqual(Silence.WAIT, watch.decide(15.9, busy=False))
+        self.assertEqual(Silence.PROBE, watch.decide(16.0, busy=False))
--- /dev/null
+++ b/tests/test_runner.py
@@ -0,0 +1,165 @@
+import socket
+import time
+
+import anyio
+from fifo import Fifo
+from test_register import make_work
+from testtools import TestCase
+from testtools.matchers import LessThan
+
+from jujuberun.backend import Backend, EvidenceKind
+from jujuberun.ids import Outcome
+from jujuberun.runner import Runner
+from jujuberun.standin_target import Behaviour, TargetStandin
+
+
+def run_with_target(act, behaviour, room=8):
+    """Runs act(runner, target, evidence) against a target stand-in."""
+
+    async def main():
+        target = TargetStandin(behaviour)
+        evidence = []
+        async with anyio.create_task_group() as group:
+            await group.start(target.run)
+            backend = Backend(
+                target.address, lambda item, now: evidence.append(item.kind)
+            )
+            admission = Fifo(behaviour.slots, room)
+            runner = Runner(behaviour.slots, admission, backend)
+            await group.start(runner.run)
+            with anyio.fail_after(20):
+                await act(runner, target, evidence)
+            assert runner.running == admission.busy == 0, "a slot was lost"
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def make_request(name="a", timeout=5.0, **fields):
+    return make_work(name, deadline=time.monotonic() + timeout, **fields)
+
+
+class RunnerTest(TestCase):
+    def test_runs_within_the_slots_and_refuses_the_rest(self):
+        # Guards against more work at the target than it has slots, and
+        # against a refusal of work that runs.
+        async def act(runner, target, evidence):
+            results = {}
+
+            async def call(name):
+                work = make_request(name)
+                results[name] = await runner.execute(work, time.monotonic())
+
+            async with anyio.create_task_group() as group:
+                for number in range(20):
+                    group.start_soon(call, str(number))
+            ran = {
+                n for n, r in results.items() if r.outcome.value == "answered"
+            }
+            self.assertEqual(10, len(ran))
+            self.assertEqual(ran, set(target.counts.begun))
+            self.assertEqual(2, target.counts.busiest)
+            refused = {r.reason for n, r in results.items() if n not in ran}
+            self.assertEqual({"overloaded"}, refused)
+            for name in ran:
+                self.assertEqual(name.encode(), results[name].body)
+
+        run_with_target(act, Behaviour(slots=2, work=0.02))
+
+    def test_expired_and_cancelled_requests_take_no_slot(self):
+        # Guards against expired or withdrawn work that reaches a slot, and
+        # against a slot that it frees although it had none.
+        async def act(runner, target, evidence):
+            results = []
+
+            async def call(name, timeout):
+                work = make_request(name, timeout)
+                results.append(await runner.execute(work, time.monotonic()))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(call, "running", 5)
+                await anyio.sleep(0.05)
+                group.start_soon(call, "expires", 0.1)
+                with anyio.move_on_after(0.1):
+                    await call("withdrawn", 5)
+            again = await runner.execute(
+                make_request("withdrawn"), time.monotonic()
+            )
+            self.assertEqual(Outcome.NOT_RUN, again.outcome)
+            self.assertEqual({"running"}, set(target.counts.begun))
+            self.assertEqual(
+                [Outcome.NOT_RUN, Outcome.ANSWERED],
+                [result.outcome for result in results],
+            )
+
+        run_with_target(act, Behaviour(slots=1, work=0.5))
+
+    def test_deadline_and_cancellation_close_the_connection(self):
+        # Guards against a target that goes on with work nobody waits for.
+        async def act(runner, target, evidence):
+            began = time.monotonic()
+            late = await runner.execute(make_request("a", 0.2), began)
+            self.assertEqual(Outcome.UNKNOWN, late.outcome)
+            self.assertThat(time.monotonic() - began, LessThan(2.0))
+            with anyio.move_on_after(0.2):
+                await runner.execute(make_request("b"), time.monotonic())
+            while target.counts.cancelled < 2:  # noqa: ASYNC110
+                await anyio.sleep(0.01)  # The stand-in has no event for it.
+            self.assertEqual([EvidenceKind.SILENCE], evidence)
+
+        run_with_target(act, Behaviour(slots=1, hang=True))
+
+    def test_cut_answer_is_unknown(self):
+        # Guards R3: a part of an answer passed on as the whole.
+        async def act(runner, target, evidence):
+            result = await runner.execute(make_request(), time.monotonic())
+            self.assertEqual(Outcome.UNKNOWN, result.outcome)
+            self.assertEqual(b"", result.body)
+            self.assertEqual([EvidenceKind.BROKEN], evidence)
+
+        run_with_target(act, Behaviour(break_off=True))
+
+    def test_unreachable_target_is_not_run(self):
+        # Guards against an unknown outcome when nothing was sent.
+        async def act(runner, target, evidence):
+            with socket.socket() as closed:
+                closed.bind(("127.0.0.1", 0))
+                runner._backend._address = closed.getsockname()
+                result = await runner.execute(make_request(), time.monotonic())
+            self.assertEqual(Outcome.NOT_RUN, result.outcome)
+            self.assertEqual([EvidenceKind.REFUSAL], evidence)
+
+        run_with_target(act, Behaviour())
+
+    def test_failing_and_shedding_targets_are_told_apart(self):
+        # Guards health against a target that looks idle because it fails.
+        async def act(runner, target, evidence):
+            target.behaviour.fail = True
+            failed = await runner.execute(make_request("a"), time.monotonic())
+            target.behaviour.fail, target.behaviour.shed = False, True
+            target.behaviour.slots = 0
+            shed = await runner.execute(make_request("b"), time.monotonic())
+            self.assertEqual([500, 503], [failed.status, shed.status])
+            self.assertEqual(
+                [EvidenceKind.ERROR, EvidenceKind.REFUSAL], evidence
+            )
+
+        run_with_target(act, Behaviour())
+
+    def test_second_arrival_gets_the_same_answer(self):
+        # Guards R5: both arrivals of an id at the target.
+        async def act(runner, target, evidence):
+            results = []
+
+            async def call():
+                work = make_request("same")
+                results.append(await runner.execute(work, time.monotonic()))
+
+            async with anyio.create_task_group() as group:
+                for _ in range(5):
+                    group.start_soon(call)
+            await call()
+            self.assertEqual({b"same"}, {r.body for r in results})
+            self.assertEqual(1, target.counts.begun["same"])
+
+        run_with_target(act, Behaviour(work=0.05))
