--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -45,6 +45,7 @@
     module_name="jujuberun_thrift",
 )
 Answer = messages.Answer
+Cancel = messages.Cancel
 Claim = messages.Claim
 ClaimReply = messages.ClaimReply
 Document = messages.Document
@@ -63,7 +64,11 @@
 Register = messages.Register
 RegisterReply = messages.RegisterReply
 Release = messages.Release
+Reserve = messages.Reserve
+ReserveReply = messages.ReserveReply
 Reset = messages.Reset
+Run = messages.Run
+RunReply = messages.RunReply
 Status = messages.Status
 
 _FIELDS = {
--- /dev/null
+++ b/jujuberun/work.py
@@ -0,0 +1,244 @@
+"""A request on its way through the agent, and what became of it."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from jujuberun.ids import Outcome, RequestId, ServiceId, Urgency
+from jujuberun.manifest import Service
+from jujuberun.quic import (
+    HEADER_DEADLINE,
+    HEADER_IDEMPOTENT,
+    HEADER_OUTCOME,
+    HEADER_REASON,
+    HEADER_REQUEST_ID,
+    HEADER_RETRY_AFTER,
+    MAX_HEADER_TEXT,
+    Headers,
+    select_headers,
+)
+from jujuberun.wire import Run, RunReply
+
+DEFAULT_DEADLINE_S = 30.0
+MAX_DEADLINE_S = 3600.0
+_STATUS = {Outcome.NOT_RUN: 503, Outcome.UNKNOWN: 502}
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A request; it has all fields of admission.Request.
+
+    Attributes:
+        id: chosen by the caller, one for each attempt that may run.
+        service: the service that it was sent to.
+        urgency: class of the service.
+        deadline: when its caller stops waiting, seconds, monotonic.
+        idempotent: whether running it twice does no harm.
+        arrived: when it arrived here, seconds, monotonic.
+        method: HTTP method.
+        path: path and query.
+        headers: other header fields.
+        body: whole body.
+    """
+
+    id: RequestId
+    service: ServiceId
+    urgency: Urgency
+    deadline: float
+    idempotent: bool
+    arrived: float
+    method: str = "GET"
+    path: str = "/"
+    headers: Headers = ()
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkResult:
+    """What became of a request.
+
+    Attributes:
+        outcome: ANSWERED with the whole answer, NOT_RUN or UNKNOWN.
+        status: HTTP status, 0 without an answer.
+        body: whole body of the answer.
+        headers: header fields of the answer.
+        reason: short word when there is no answer.
+        retry_after: seconds until a new attempt makes sense.
+    """
+
+    outcome: Outcome
+    status: int = 0
+    body: bytes = b""
+    headers: Headers = ()
+    reason: str = ""
+    retry_after: float = 0.0
+
+
+def refuse(reason: str, retry_after: float = 0.0) -> WorkResult:
+    """Returns the result of work that surely never runs."""
+    return WorkResult(Outcome.NOT_RUN, reason=reason, retry_after=retry_after)
+
+
+def lose(reason: str) -> WorkResult:
+    """Returns the result of work that may have run."""
+    return WorkResult(Outcome.UNKNOWN, reason=reason)
+
+
+def make_work(
+    service: Service, headers: Headers, body: bytes, arrived: float
+) -> Work | WorkResult:
+    """Builds the work that a caller's headers describe.
+
+    Args:
+        service: the service of the flow.
+        headers: all header fields of the request.
+        body: whole body.
+        arrived: seconds, monotonic.
+
+    Returns:
+        The work, or a refusal when a header field is malformed.
+    """
+    fields = dict(headers)
+    identifier = fields.get(HEADER_REQUEST_ID, b"")
+    if not 0 < len(identifier) <= MAX_HEADER_TEXT or not identifier.isascii():
+        return refuse("bad-request-id")
+    deadline = fields.get(HEADER_DEADLINE)
+    wait = DEFAULT_DEADLINE_S
+    if deadline is not None:
+        if not deadline.isdigit() or len(deadline) > 12:
+            return refuse("bad-deadline")
+        wait = min(int(deadline) / 1000, MAX_DEADLINE_S)
+    try:
+        method = fields[b":method"].decode("ascii")
+        path = fields[b":path"].decode("ascii")
+    except (KeyError, UnicodeDecodeError):
+        return refuse("bad-request-line")
+    return Work(
+        id=RequestId(identifier.decode("ascii")),
+        service=service.id,
+        urgency=service.urgency,
+        deadline=arrived + wait,
+        idempotent=fields.get(HEADER_IDEMPOTENT) == b"true",
+        arrived=arrived,
+        method=method,
+        path=path,
+        headers=select_headers(headers),
+        body=body,
+    )
+
+
+def encode_result(result: WorkResult) -> list[tuple[bytes, bytes]]:
+    """Returns the header fields of an answer, outcome included."""
+    status = result.status or _STATUS[result.outcome]
+    headers = [
+        (b":status", b"%d" % status),
+        (HEADER_OUTCOME, result.outcome.value.encode()),
+    ]
+    if result.outcome is not Outcome.ANSWERED:
+        headers.append((HEADER_REASON, result.reason.encode()))
+    if result.outcome is Outcome.NOT_RUN:
+        retry_after = b"%d" % round(result.retry_after * 1000)
+        headers.append((HEADER_RETRY_AFTER, retry_after))
+    headers.extend(select_headers(result.headers))
+    return headers
+
+
+def encode_work(token: int, work: Work, timeout: float) -> Any:
+    """Returns the Run message of a request.
+
+    Args:
+        token: of the reservation.
+        work: the request.
+        timeout: seconds until its deadline.
+    """
+    headers = [
+        part.decode("latin-1") for field in work.headers for part in field
+    ]
+    return Run(
+        token,
+        work.service,
+        work.id,
+        work.method,
+        work.path,
+        work.idempotent,
+        round(timeout * 1000),
+        work.body,
+        headers,
+    )
+
+
+def decode_work(message: Any, service: Service, now: float) -> Work:
+    """Returns the request of a Run message that arrived at a time."""
+    return Work(
+        id=RequestId(message.request_id),
+        service=service.id,
+        urgency=service.urgency,
+        deadline=now + message.timeout / 1000,
+        idempotent=bool(message.idempotent),
+        arrived=now,
+        method=message.method,
+        path=message.path,
+        headers=_decode_headers(message.headers),
+        body=message.body or b"",
+    )
+
+
+def encode_reply(result: WorkResult) -> Any:
+    """Returns the RunReply of a result."""
+    headers = [
+        part.decode("latin-1") for field in result.headers for part in field
+    ]
+    return RunReply(
+        result.outcome.value,
+        result.status,
+        result.body,
+        headers,
+        result.reason,
+        round(result.retry_after * 1000),
+    )
+
+
+def decode_reply(reply: Any) -> WorkResult:
+    """Returns the result in a RunReply, UNKNOWN when it is malformed."""
+    try:
+        return WorkResult(
+            Outcome(reply.outcome),
+            reply.status or 0,
+            reply.body or b"",
+            _decode_headers(reply.headers),
+            reply.reason or "",
+            (reply.retry_after or 0) / 1000,
+        )
+    except (AttributeError, ValueError):
+        return lose("peer-reply-malformed")
+
+
+def _decode_headers(parts: Sequence[str] | None) -> Headers:
+    encoded = [part.encode("latin-1") for part in parts or ()]
+    return tuple(zip(encoded[::2], encoded[1::2], strict=False))
+
+
+def decode_result(headers: Headers, body: bytes) -> WorkResult:
+    """Returns the result in an agent's answer.
+
+    Args:
+        headers: all header fields.
+        body: whole body.
+    """
+    fields = dict(headers)
+    status = fields.get(b":status", b"0")
+    retry_after = fields.get(HEADER_RETRY_AFTER, b"0")
+    try:
+        outcome = Outcome(fields.get(HEADER_OUTCOME, b"").decode("ascii"))
+    except ValueError:
+        return lose("malformed-answer")
+    if not status.isdigit() or not retry_after.isdigit():
+        return lose("malformed-answer")
+    return WorkResult(
+        outcome,
+        status=int(status) if outcome is Outcome.ANSWERED else 0,
+        body=body,
+        headers=select_headers(headers),
+        reason=fields.get(HEADER_REASON, b"").decode("latin-1"),
+        retry_after=int(retry_after) / 1000,
+    )
