--- /dev/null
+++ b/jujuberun/measure_headroom.py
@@ -0,0 +1,129 @@
+"""Measures targets in use and waiting time over the headroom setting."""
+
+import math
+from dataclasses import dataclass
+
+from jujuberun.ids import DomainId
+from jujuberun.measure import Options, Report, Row, Series
+from jujuberun.measure_imbalance import build_targets, scale_workload
+from jujuberun.policy import Policy
+from jujuberun.replay import Replay
+from jujuberun.tally import find_quantile
+from jujuberun.trace import record_steady
+
+TARGETS = 20
+_LOW, _HIGH = 0.1, 0.7  # share of the slots at night and at noon
+_WARM_S = 20
+_LOSS_LOAD = 0.5
+_AFTER_S = 10  # waits this long after a loss are reported
+
+
+@dataclass(frozen=True, slots=True)
+class _Day:
+    """Figures of one day at one headroom."""
+
+    in_use: float
+    p99: float
+    p999: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """Figures of the loss of a failure domain at one headroom."""
+
+    in_use: float
+    before: float  # p99 wait, s
+    after: float
+    later: float
+    lost: int
+
+
+def measure(options: Options) -> Report:
+    """Replays a day and the loss of a failure domain at several headrooms."""
+    length = 120 if options.quick else 600
+    settings = (0.0, 0.5, 1.0) if options.quick else (0.0, 0.25, 0.5, 0.75, 1.0)
+    days, losses = {}, {}
+    for headroom in settings:
+        options.progress(f"headroom {headroom}")
+        days[headroom] = _replay_day(headroom, length, options.seed)
+    for headroom in (0.0, 0.5, 1.0):
+        options.progress(f"loss at headroom {headroom}")
+        losses[headroom] = _replay_loss(headroom, options.seed)
+    return Report(
+        "headroom",
+        options.seed,
+        tuple(_build_rows(days, losses)),
+        (
+            f"{TARGETS} targets of 2 slots; the load of a day goes from"
+            f" {_LOW:.0%} to {_HIGH:.0%} and back in {length} s",
+            f"a failure domain (5 targets) is lost at {_LOSS_LOAD:.0%} load;"
+            f" after: the next {_AFTER_S} s, later: from {_AFTER_S} s on",
+        ),
+        (
+            Series(
+                "targets in use",
+                settings,
+                tuple(d.in_use for d in days.values()),
+            ),
+            Series(
+                "p99 wait, ms",
+                settings,
+                tuple(d.p99 * 1000 for d in days.values()),
+            ),
+        ),
+        "headroom",
+        "targets; ms",
+    )
+
+
+def _replay_day(headroom: float, length: int, seed: int) -> _Day:
+    def find_load(at: float) -> float:
+        wave = (1 - math.cos(2 * math.pi * at / length)) / 2
+        return _LOW + (_HIGH - _LOW) * wave
+
+    arrivals = record_steady(scale_workload(TARGETS), find_load, length, seed)
+    policy = Policy(headroom=headroom)
+    tally = Replay(build_targets(TARGETS), policy, seed).run(arrivals)
+    waits = tally.list_waits(_WARM_S, length)
+    return _Day(
+        in_use=tally.count_in_use(_WARM_S, length),
+        p99=find_quantile(waits, 0.99),
+        p999=find_quantile(waits, 0.999),
+    )
+
+
+def _replay_loss(headroom: float, seed: int) -> _Loss:
+    at, end = 60, 90
+    arrivals = record_steady(
+        scale_workload(TARGETS), lambda _: _LOSS_LOAD, end, seed
+    )
+    replay = Replay(build_targets(TARGETS), Policy(headroom=headroom), seed)
+    replay.lose(DomainId("domain-1"), at)
+    tally = replay.run(arrivals)
+    parts = ((_WARM_S, at), (at, at + _AFTER_S), (at + _AFTER_S, end))
+    before, after, later = (
+        find_quantile(tally.list_waits(*part), 0.99) for part in parts
+    )
+    in_use = tally.count_in_use(_WARM_S, at)
+    return _Loss(in_use, before, after, later, tally.lost)
+
+
+def _build_rows(
+    days: dict[float, _Day], losses: dict[float, _Loss]
+) -> list[Row]:
+    """Builds the rows; the naive figure is that of all targets in use."""
+    rows = []
+    full = days[1.0]
+    for headroom, day in days.items():
+        name = f"day, headroom {headroom}"
+        rows.append(Row(name, day.in_use, full.in_use, "targets in use"))
+        rows.append(Row(name, day.p99, full.p99, "s, p99 wait"))
+        rows.append(Row(name, day.p999, full.p999, "s, p99.9 wait"))
+    for headroom, loss in losses.items():
+        name = f"loss, headroom {headroom}"
+        rows.append(Row(name, loss.in_use, None, "targets in use before"))
+        rows.append(Row(name, loss.before, None, "s, p99 wait before"))
+        rows.append(Row(name, loss.after, None, "s, p99 wait after"))
+        rows.append(Row(name, loss.later, None, "s, p99 wait later"))
+        rows.append(Row(name, loss.lost, None, "requests lost while running"))
+    return rows
--- /dev/null
+++ b/jujuberun/measure_imbalance.py
@@ -0,0 +1,177 @@
+"""Measures how evenly decisions spread flows and requests."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+
+from jujuberun.ids import DomainId, TargetId
+from jujuberun.manifest import Target
+from jujuberun.measure import Options, Report, Row, Series
+from jujuberun.policy import (
+    HandOn,
+    Policy,
+    choose_bounded,
+    choose_by_hash,
+    choose_by_load,
+    choose_home,
+)
+from jujuberun.replay import Replay
+from jujuberun.tally import Tally, find_quantile
+from jujuberun.trace import WORKLOADS, Arrival, Workload, record_steady
+
+LOADS = (0.5, 0.8, 0.95)
+DOMAINS = 4
+SLOTS = 2
+CONNECTIONS = 2000
+_WARM_S = 10  # the first load messages and flows, left out
+_NAIVE = "naive hash"
+_CENTRAL = "one central queue"
+_KEPT = "two candidates, waiting at peers"
+POLICIES: dict[str, Policy] = {
+    _NAIVE: Policy(choose_by_hash, HandOn.NONE),
+    "consistent hash": Policy(choose_home, HandOn.NONE),
+    "bounded load": Policy(choose_bounded, HandOn.NONE),
+    "two candidates": Policy(choose_by_load, HandOn.NONE),
+    "consistent hash, waiting at peers": Policy(choose_home, HandOn.WAIT),
+    "bounded load, waiting at peers": Policy(choose_bounded, HandOn.WAIT),
+    "two candidates, asking again": Policy(choose_by_load, HandOn.ASK),
+    _KEPT: Policy(choose_by_load, HandOn.WAIT),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Figures:
+    flows: float
+    busy: float
+    p50: float
+    p99: float
+    p999: float
+
+
+_UNITS = {
+    "flows": "peak/mean of open flows",
+    "busy": "peak/mean of busy slots",
+    "p50": "s, p50 wait",
+    "p99": "s, p99 wait",
+    "p999": "s, p99.9 wait",
+}
+
+
+def build_targets(count: int) -> list[Target]:
+    """Builds targets in DOMAINS failure domains, for replays."""
+    return [
+        Target(
+            id=TargetId(f"target-{index}"),
+            address=("127.0.0.1", 9000),
+            agent=("127.0.0.1", 9001),
+            domain=DomainId(f"domain-{index % DOMAINS}"),
+            slots=SLOTS,
+            connection_limit=CONNECTIONS,
+        )
+        for index in range(count)
+    ]
+
+
+def scale_workload(count: int) -> Workload:
+    """Returns the workload of meal changes for a number of targets."""
+    base = WORKLOADS["montreal"][0]
+    slots = count * SLOTS
+    recent = base.recent_flows * slots // base.slots
+    return replace(base, slots=slots, recent_flows=recent)
+
+
+def measure(options: Options) -> Report:
+    """Replays steady loads with each policy, 7 targets and 100."""
+    seconds = {7: 40, 100: 14} if options.quick else {7: 200, 100: 30}
+    loads = LOADS[1:2] if options.quick else LOADS
+    rows: list[Row] = []
+    notes: list[str] = []
+    waits: dict[str, list[float]] = {}
+    for count, length in seconds.items():
+        for load in loads:
+            options.progress(f"{count} targets at {load:.0%}")
+            arrivals = _record(count, load, length, options.seed)
+            figures = {
+                name: _replay(count, policy, arrivals, length, options.seed)
+                for name, policy in POLICIES.items()
+            }
+            figures[_CENTRAL] = _replay_central(count, arrivals, options.seed)
+            case = f"{count} targets, {load:.0%}"
+            rows += _build_rows(case, figures)
+            notes += _build_notes(case, figures)
+            for name, value in figures.items():
+                if count == 7:
+                    waits.setdefault(name, []).append(value.p99)
+    series = tuple(
+        Series(name, tuple(loads), tuple(values))
+        for name, values in waits.items()
+    )
+    return Report(
+        "imbalance",
+        options.seed,
+        tuple(rows),
+        tuple(notes),
+        series,
+        "load, share of the slots of 7 targets",
+        "p99 wait, s",
+    )
+
+
+def _record(
+    count: int, load: float, length: int, seed: int
+) -> tuple[Arrival, ...]:
+    return record_steady(scale_workload(count), lambda _: load, length, seed)
+
+
+def _replay(
+    count: int,
+    policy: Policy,
+    arrivals: Sequence[Arrival],
+    length: int,
+    seed: int,
+) -> _Figures:
+    tally = Replay(build_targets(count), policy, seed).run(arrivals)
+    return _summarise(tally, count, length)
+
+
+def _replay_central(
+    count: int, arrivals: Sequence[Arrival], seed: int
+) -> _Figures:
+    """Replays with one target that has the slots of all."""
+    single = replace(
+        build_targets(1)[0],
+        slots=count * SLOTS,
+        connection_limit=count * CONNECTIONS,
+    )
+    policy = Policy(choose_home, HandOn.NONE)
+    tally = Replay([single], policy, seed).run(arrivals)
+    return _summarise(tally, 1, int(arrivals[-1].at))
+
+
+def _summarise(tally: Tally, count: int, length: int) -> _Figures:
+    waits = tally.list_waits(_WARM_S, length)
+    return _Figures(
+        flows=tally.average_flow_peak(_WARM_S),
+        busy=tally.average_busy_peak(count, _WARM_S, length),
+        p50=find_quantile(waits, 0.5),
+        p99=find_quantile(waits, 0.99),
+        p999=find_quantile(waits, 0.999),
+    )
+
+
+def _build_rows(case: str, figures: dict[str, _Figures]) -> list[Row]:
+    """Builds a row against the naive hash and one against the one queue."""
+    rows = []
+    for key, unit in _UNITS.items():
+        ours = getattr(figures[_KEPT], key)
+        for name in (_NAIVE, _CENTRAL):
+            other = getattr(figures[name], key)
+            rows.append(Row(f"{case}, against {name}", ours, other, unit))
+    return rows
+
+
+def _build_notes(case: str, figures: dict[str, _Figures]) -> list[str]:
+    return [
+        f"{case}, {name}: flows {f.flows:.2f}, busy {f.busy:.2f},"
+        f" wait {f.p50:.3f} / {f.p99:.3f} / {f.p999:.3f} s"
+        for name, f in figures.items()
+    ]
--- a/jujuberun/trace.py
+++ b/jujuberun/trace.py
@@ -5,13 +5,13 @@
 import hashlib
 import io
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from importlib import resources
 
 from jujuberun.ids import FlowId, ServiceId
 
 TRACE_SEED = 20
-_RECENT_FLOWS = 150  # flows that a service's next request may belong to
 _WORK_SIGMA = 0.8  # lognormal; the longest 1% takes about 5 times the mean
 _MAX_WORK_RATIO = 12.0
 _MS = 1000
@@ -49,6 +49,7 @@
         patience: shortest and longest time to the deadline, seconds.
         idempotent: share of idempotent requests.
         new_flows: share of requests that begin a flow.
+        recent_flows: the other requests belong to so many newest flows.
     """
 
     service: ServiceId
@@ -57,6 +58,7 @@
     patience: tuple[float, float]
     idempotent: float
     new_flows: float
+    recent_flows: int = 150
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +142,32 @@
     )
 
 
+def record_steady(
+    workload: Workload, load: Callable[[float], float], end: float, seed: int
+) -> tuple[Arrival, ...]:
+    """Draws requests of one service at a load that is a function of time.
+
+    Args:
+        workload: how its requests look.
+        load: multiple of the capacity at a time in seconds, at most 1.
+        end: length, seconds.
+        seed: of all random choices.
+    """
+    rng = random.Random(f"{workload.service}/{seed}")
+    full_rate = workload.slots / workload.work
+    rows, flows, at = [], 0, rng.expovariate(full_rate)
+    while at < end:
+        # Thinning turns a constant rate into one that varies with time.
+        if rng.random() < load(at):
+            flow = _draw_flow(workload, flows, rng)
+            flows = max(flows, flow + 1)
+            rows.append(_draw_row(workload, at, flow, rng))
+        at += rng.expovariate(full_rate)
+    return tuple(
+        _parse_row("steady", [str(value) for value in row]) for row in rows
+    )
+
+
 def _parse_row(name: str, row: list[str]) -> Arrival:
     at, service, number, work, patience, idempotent = row
     key = f"{name}/{service}/{number}".encode()
@@ -175,7 +203,7 @@
     """Returns the next new flow or a recent one, the newest most often."""
     if flows == 0 or rng.random() < workload.new_flows:
         return flows
-    back = int(min(flows, _RECENT_FLOWS) * rng.random() ** 2)
+    back = int(min(flows, workload.recent_flows) * rng.random() ** 2)
     return flows - 1 - back
 
 
