--- a/jujuberun/placement.py
+++ b/jujuberun/placement.py
@@ -16,10 +16,14 @@
 # Spare slots per square root of the load keep the share of requests that wait
 # about equal from 2 to 2,000 slots (square-root staffing).
 _SPARE_SLOTS = 1.0
-_SMOOTH_S = 5.0  # time constant of the smoothed load
+_SMOOTH_S = 10.0  # time constant of the smoothed load
+# A load above this multiple of the slots in use counts at once. Without it, a
+# step from 20% to 70% load gave a p99 wait of 1.6 s instead of 0.7 s.
+_SURGE = 1.5
 _HOLD_S = 30.0  # a surplus of targets must last so long before it is released
 _MAX_SCAN = 32  # targets looked at when all that were compared are full
 _TYPICAL_SHARE = 0.1  # weight of one report in the mean over all targets
+_MIN_REPORTS = 4  # fewer targets do not stand for all of a service
 _UNKNOWN = -math.inf
 
 
@@ -165,9 +169,10 @@
             now: seconds, monotonic.
 
         Returns:
-            Slots, or None while no report of an active target is fresh.
+            Slots, or None while fewer than _MIN_REPORTS are fresh.
         """
         demand, seen, others, slots = 0.0, 0, 0.0, 0
+        reports = 0
         for target, known in self._known.items():
             inside = target in active
             slots += known.slots if inside else 0
@@ -177,9 +182,10 @@
             if inside:
                 demand += work
                 seen += known.slots
+                reports += 1
             else:
                 others += work
-        if seen == 0:
+        if reports < min(_MIN_REPORTS, max(1, len(active))):
             return None
         return demand * slots / seen + others
 
@@ -272,9 +278,9 @@
         self._ordered = tuple(ordered)
         self._smooth: float | None = None
         self._updated = 0.0
-        # The set without headroom: its size in slots, and since when and up
-        # to which size a smaller one has been enough.
-        self._lean = 1
+        # Slots that the load needs before headroom; None while it is unknown.
+        self._lean: int | None = None
+        # Since when fewer have been enough, and how many of them.
         self._surplus_since: float | None = None
         self._surplus_peak = 0
 
@@ -298,17 +304,21 @@
     ) -> ActiveTargets:
         """Returns the targets that may get new work.
 
-        The set grows at once with the smoothed load and shrinks when less has
-        been enough for _HOLD_S.
+        The set grows with the smoothed load, at once in a surge, and shrinks
+        when less has been enough for _HOLD_S.
 
         Args:
-            load: slots that the service's requests ask for, None when unknown.
+            load: slots that the service's requests ask for, None when unknown;
+                before the first known load all targets are active.
             now: seconds, monotonic.
             excluded: suspects and leaving targets; others replace them.
         """
         if load is not None:
-            self._adapt(math.ceil(self._need(self._blend(load, now))), now)
+            need = _add_spare(self._blend(load, now))
+            self._adapt(math.ceil(max(need, load / _SURGE)), now)
         usable = [t for t in self._ordered if t.id not in excluded]
+        if self._lean is None:
+            return ActiveTargets(target.id for target in usable)
         lean = _count_prefix(usable, self._lean)
         spare = self._headroom * (len(usable) - lean)
         # Without the tolerance 0.1 * 70 rounds up to 8.
@@ -325,11 +335,8 @@
         self._updated = now
         return self._smooth
 
-    def _need(self, load: float) -> float:
-        return max(1.0, load + _SPARE_SLOTS * math.sqrt(load))
-
     def _adapt(self, need: int, now: float) -> None:
-        if need >= self._lean:
+        if self._lean is None or need >= self._lean:
             self._lean = need
             self._surplus_since = None
             return
@@ -360,6 +367,10 @@
     return tuple(target for _, _, target in turns)
 
 
+def _add_spare(load: float) -> float:
+    return max(1.0, load + _SPARE_SLOTS * math.sqrt(load))
+
+
 def _count_prefix(targets: Sequence[Target], slots: float) -> int:
     """Returns how many of the first targets have so many slots together."""
     total = 0
--- a/jujuberun/replay.py
+++ b/jujuberun/replay.py
@@ -22,6 +22,7 @@
 STATUS_PEERS = 2
 STATUS_REPORTS = 8  # loads in one message
 IDLE_S = 10.0  # a caller keeps its flow open after its last request
+PEERS_FIRST_S = 0.02  # a target that is not active leaves work to peers
 RETRY_S = 0.05  # between questions to peers that do not wait
 
 
@@ -125,13 +126,15 @@
     def _reach(self, agent: _Agent, job: _Job) -> None:
         if agent.lost_at is not None:
             self._push(self.now + SUSPECT_S, self._miss, agent, job)
-        elif agent.busy < agent.slots:
-            agent.busy += 1
-            self._start(agent, job)
+            return
+        agent.queue.append((job, False))
+        hands_on = self._policy.hand_on is not HandOn.NONE
+        if hands_on and agent.id not in agent.view.active:
+            self._push(self.now + PEERS_FIRST_S, self._fill, agent)
         else:
-            agent.queue.append((job, False))
-            if self._policy.hand_on is not HandOn.NONE:
-                self._ask(agent, job)
+            self._fill(agent)
+        if hands_on:
+            self._ask(agent, job)
 
     def _miss(self, agent: _Agent, job: _Job) -> None:
         """The home suspects the silent owner and chooses another one."""
@@ -193,6 +196,10 @@
 
     def _release(self, agent: _Agent) -> None:
         agent.busy -= 1
+        self._fill(agent)
+
+    def _fill(self, agent: _Agent) -> None:
+        """Gives idle slots to requests in the order of their arrival."""
         while agent.busy < agent.slots and agent.queue:
             job, from_peer = agent.queue.popleft()
             # A peer hears that the request was taken a message later.
