--- a/jujuberun/replay.py
+++ b/jujuberun/replay.py
@@ -4,7 +4,7 @@
 import random
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from jujuberun.evidence import Silent
 from jujuberun.health import SUSPECT_S
@@ -224,8 +224,7 @@
 
     def _hear(self, agent: _Agent, reports: list) -> None:
         for report in reports:
-            claim = replace(report.claim, age=report.claim.age + DELAY_S)
-            agent.view.hear(replace(report, claim=claim), self.now)
+            agent.view.hear(report, self.now)
 
     def _sample(self) -> None:
         flows = [agent.flows for agent in self.agents.values()]
--- a/jujuberun/view.py
+++ b/jujuberun/view.py
@@ -79,7 +79,7 @@
             self.update(now)
 
     def hear(self, report: LoadReport, now: float) -> None:
-        """Takes a report from a message; its age includes the transport."""
+        """Takes a report from a message; the time on its way is ignored."""
         if report.load is not None:
             age = report.claim.age
             self.loads.note(report.target, report.load, age, now)
