--- a/jujuberun/agent.py
+++ b/jujuberun/agent.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
+from jujuberun.candidates import View, Views
 from jujuberun.claims import Claims
 from jujuberun.directory import Directory, Entry, Verdict
 from jujuberun.flows import Flow
@@ -17,7 +18,6 @@
 from jujuberun.manifest import Service, Target, format_address
 from jujuberun.peers import Peers, PeerState
 from jujuberun.registrar import Record, Registrar
-from jujuberun.view import View, Views
 from jujuberun.wire import (
     Answer,
     Claim,
--- a/jujuberun/registrar.py
+++ b/jujuberun/registrar.py
@@ -8,9 +8,9 @@
 import anyio
 import anyio.lowlevel
 
+from jujuberun.candidates import Views
 from jujuberun.ids import Address, FlowId, ServiceId, TargetId
 from jujuberun.peers import Peer, Peers
-from jujuberun.view import Views
 from jujuberun.wire import (
     FlowRecord,
     Register,
--- a/jujuberun/view.py
+++ b/jujuberun/view.py
@@ -1,164 +1,108 @@
-"""What an agent knows of a flow's candidates, in this and former tables."""
+"""What one process believes of a service: load, health, active targets."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Any
 
-from jujuberun.generations import Generations, Version
-from jujuberun.ids import Address, FlowId, Generation, TargetId
-from jujuberun.manifest import Service
-from jujuberun.peers import Peers, PeerState
-from jujuberun.wire import unpack_address
+from jujuberun.evidence import Claimed, Evidence
+from jujuberun.health import Health
+from jujuberun.ids import TargetId
+from jujuberun.loads import Loads, TargetLoad
+from jujuberun.manifest import Target
+from jujuberun.placement import (
+    ActiveSet,
+    ActiveTargets,
+    order_targets,
+)
 
-FORMER_S = 10.0  # homes of a replaced generation are asked for so long
+REPORTS = 8  # reports in one Status message, about 50 bytes each
+_CLAIMS = 4  # of these against targets, at most
 
 
 @dataclass(frozen=True, slots=True)
-class View:
-    """Candidates of a flow by the newest generation that is known.
+class LoadReport:
+    """One entry of a Status message, from or about a target.
 
     Attributes:
-        service: the service that the packet belongs to.
-        generation: generation of the candidates.
-        candidates: ids, home first.
-        agents: peer address of each candidate.
-        former: agents that may hold an entry from former tables, oldest
-            first.
-        retired: the address belongs to no service any more.
+        target: whom it is about.
+        load: None in a claim of another process against the target.
+        claim: healthy, draining and the age of the report.
     """
 
-    service: Service
-    generation: Generation
-    candidates: tuple[TargetId, ...]
-    agents: tuple[Address, ...]
-    former: tuple[Address, ...]
-    retired: bool = False
+    target: TargetId
+    load: TargetLoad | None
+    claim: Claimed
 
 
-class Views:
-    """Builds views from the manifest's history."""
+class View:
+    """Combines the decisions of one process about one service.
 
-    def __init__(self, generations: Generations, peers: Peers) -> None:
-        self._generations = generations
-        self._peers = peers
+    Views of different processes are never compared; they may differ.
+    """
 
-    def build(
-        self, forward: Any, flow: FlowId, own: Address, now: float
-    ) -> View | None:
-        """Returns the view for a packet, or None when nothing is known.
+    def __init__(self, targets: Sequence[Target], headroom: float) -> None:
+        """Believes that all targets are healthy and that none has load.
 
         Args:
-            forward: the packet.
-            flow: its flow id.
-            own: peer address of this agent.
-            now: seconds, monotonic.
+            targets: targets of the service.
+            headroom: of the service, 0 to 1.
         """
-        current = self._generations.current
-        if current is None:
-            return None
-        address = unpack_address(forward.address)
-        newest = current.manifest.generation
-        if forward.generation > newest and forward.candidates:
-            return self._build_ahead(forward, flow, address, own, now)
-        service = current.tables.find_service(address)
-        version, retired = current, False
-        if service is None:
-            version = self._find_retired(address, now)
-            if version is None:
-                return None
-            service, retired = version.tables.find_service(address), True
-        names, agents = _list_candidates(version, service, flow)
-        former = self._list_former(address, flow, now)
-        former = tuple(a for a in former if a != own and a not in agents[:1])
-        return View(service, newest, names, agents, former, retired)
-
-    def find_homes(
-        self, address: Address, flow: FlowId, now: float
-    ) -> tuple[Address, ...]:
-        """Returns the agents at which an owner registers a flow.
-
-        These are home and backup, and the third candidate while one of them
-        counts as gone.
+        self.health = Health()
+        self.loads = Loads(targets, self.health.weigh)
+        self.active = ActiveTargets(())
+        self.names = tuple(target.id for target in targets)
+        self._members = frozenset(self.names)
+        self._active_set = ActiveSet(headroom, order_targets(targets))
+        self.update(0.0)
+
+    def update(self, now: float) -> None:
+        """Renews the active targets; called once a second.
 
         Args:
-            address: service address of the flow.
-            flow: flow id.
             now: seconds, monotonic.
         """
-        current = self._generations.current
-        if current is None:
-            return ()
-        version, service = current, current.tables.find_service(address)
-        if service is None:
-            version = self._find_retired(address, now)
-            if version is None:
-                return ()
-            service = version.tables.find_service(address)
-        _, agents = _list_candidates(version, service, flow)
-        alive = [
-            agent
-            for agent in agents
-            if self._peers.find(agent).judge(now) is not PeerState.GONE
+        excluded = self._list_excluded(now)
+        demand = self.loads.estimate_demand(self.active, now)
+        self.active = self._active_set.update(demand, now, excluded)
+
+    def tick(self, now: float) -> bool:
+        """Voids beliefs after a gap of the clock, as Health.tick."""
+        gap = self.health.tick(now)
+        if gap:
+            self.loads.forget()
+        return gap
+
+    def record(self, target: TargetId, evidence: Evidence, now: float) -> None:
+        """Takes evidence; a suspect gets no new work from here on."""
+        before = self.health.is_excluded(target, now)
+        self.health.record(target, evidence, now)
+        if self.health.is_excluded(target, now) and not before:
+            self.update(now)
+
+    def hear(self, report: LoadReport, now: float) -> None:
+        """Takes a report from a message; the time on its way is ignored."""
+        if report.load is not None:
+            age = report.claim.age
+            self.loads.note(report.target, report.load, age, now)
+        self.record(report.target, report.claim, now)
+
+    def list_reports(self, now: float) -> list[LoadReport]:
+        """Returns what the next Status message tells of the service.
+
+        Claims against targets come first: a target that is lost or leaving
+        then costs other processes fewer requests.
+        """
+        reports = [
+            LoadReport(target, None, claim)
+            for target, claim in self.health.list_claims(now, _CLAIMS)
         ]
-        return tuple(alive[:2]) or agents[:2]
-
-    def _build_ahead(
-        self,
-        forward: Any,
-        flow: FlowId,
-        address: Address,
-        own: Address,
-        now: float,
-    ) -> View | None:
-        """Builds the view of a packet that is newer than this agent."""
-        current = self._generations.current
-        service = current.manifest.services.get(forward.service_id)
-        if service is None:
-            return None
-        targets = current.manifest.targets
-        names = tuple(n for n in forward.candidates if n in targets)
-        agents = tuple(targets[name].agent for name in names)
-        former = self._list_former(address, flow, now)
-        mine = current.tables.find_service(address)
-        if mine is not None:
-            former += _list_candidates(current, mine, flow)[1][:2]
-        former = tuple(a for a in dict.fromkeys(former) if a != own)
-        return View(
-            service, Generation(forward.generation), names, agents, former
-        )
-
-    def _list_former(
-        self, address: Address, flow: FlowId, now: float
-    ) -> tuple[Address, ...]:
-        """Returns homes in tables that were replaced lately, oldest first."""
-        found: list[Address] = []
-        replaced = self._generations.current.since
-        for version in self._generations.history(now):
-            if now - replaced > FORMER_S:
-                break
-            replaced = version.since
-            service = version.tables.find_service(address)
-            if service is None:
-                continue
-            _, agents = _list_candidates(version, service, flow)
-            for agent in agents[:2]:
-                peer = self._peers.find(agent)
-                if peer.judge(now) is PeerState.GONE:
-                    continue
-                found.append(agent)
-                break
-        found.reverse()
-        return tuple(dict.fromkeys(found))
-
-    def _find_retired(self, address: Address, now: float) -> Version | None:
-        for version in self._generations.history(now):
-            if version.tables.find_service(address) is not None:
-                return version
-        return None
-
-
-def _list_candidates(
-    version: Version, service: Service, flow: FlowId
-) -> tuple[tuple[TargetId, ...], tuple[Address, ...]]:
-    names = version.tables.find_candidates(service, flow)
-    targets = version.manifest.targets
-    return names, tuple(targets[name].agent for name in names)
+        excluded = self._list_excluded(now)
+        for target, load, age in self.loads.list_reports(
+            now, REPORTS - len(reports), excluded
+        ):
+            claim = Claimed(healthy=True, draining=False, age=age)
+            reports.append(LoadReport(target, load, claim))
+        return reports
+
+    def _list_excluded(self, now: float) -> frozenset[TargetId]:
+        suspects = self.health.find_suspects(self._members, now)
+        return suspects | self.health.find_leaving(self._members, now)
