--- /dev/null
+++ b/jujuberun/lane.py
@@ -0,0 +1,139 @@
+"""One service's queue at an agent, and its share of the slots."""
+
+import math
+from dataclasses import dataclass, field
+from typing import Any
+
+from jujuberun.ids import RequestId, ServiceId, Urgency
+from jujuberun.request import Request
+
+USUAL_TIME_S = 60.0  # a service's usual slots are a mean over this time
+FIRST_S = 10.0  # a new service counts as if it had been idle this long
+USUAL_MARGIN = 1.2  # a service may grow by a fifth before it is held back
+CREDIT_S = 0.5  # a service may save up its share for this long
+RECENT_S = 10.0  # a service is active this long after its last request
+FLOOD_S = 0.5  # a service floods this long after a refusal
+FLOOD_QUEUE = 2  # or while so many requests wait without credit
+INITIAL_RUN_S = 0.05  # assumed run time of a service before the first finish
+RUN_TIME_GAIN = 0.1  # weight of the newest run in the mean run time
+PRESSURE_TIME_S = 5.0  # time constant of the ratio of refusals to starts
+
+# Share of the slots that a class has before anything is known of its services.
+FLOORS = {Urgency.URGENT: 0.3, Urgency.NORMAL: 0.2, Urgency.BULK: 0.05}
+# Division of the slots among services beyond their share.
+WEIGHTS = {Urgency.URGENT: 8.0, Urgency.NORMAL: 4.0, Urgency.BULK: 1.0}
+
+
+@dataclass(frozen=True, slots=True)
+class Slot:
+    """A slot in use.
+
+    Attributes:
+        started: seconds, monotonic.
+        charged: slot-seconds that were charged in advance.
+        within: whether they were charged to the share.
+    """
+
+    started: float
+    charged: float
+    within: bool
+
+
+@dataclass(slots=True)
+class Lane:
+    """Waiting requests and figures of one service.
+
+    Attributes:
+        service: its id.
+        urgency: its class.
+        slots: slots of the target.
+        usual: slots that it occupies while there is no overload.
+        learned: seconds that usual was learned over.
+        credit: slot-seconds that it may use within its share.
+        spare: slot-seconds that it may use beyond its share in a flood.
+        served: slot-seconds that it used, divided by its weight.
+        run_time: mean time in a slot, seconds.
+        busy: slots that it holds.
+        last_arrival: seconds, monotonic.
+        last_start: seconds, monotonic.
+        refused_at: last refusal for overload, seconds, monotonic.
+        starts: count that decays with PRESSURE_TIME_S.
+        refusals: count that decays with PRESSURE_TIME_S.
+        queue: waiting requests, the oldest first.
+    """
+
+    service: ServiceId
+    urgency: Urgency
+    slots: int
+    usual: float = 0.0
+    learned: float = FIRST_S
+    credit: float = INITIAL_RUN_S
+    spare: float = 0.0
+    served: float = 0.0
+    run_time: float = INITIAL_RUN_S
+    busy: int = 0
+    last_arrival: float = -math.inf
+    last_start: float = -math.inf
+    refused_at: float = -math.inf
+    starts: float = 0.0
+    refusals: float = 0.0
+    queue: dict[RequestId, Request] = field(default_factory=dict)
+
+    @property
+    def share(self) -> float:
+        """Slots that the service may always use."""
+        floor = FLOORS[self.urgency] * self.slots
+        return max(floor, self.usual * USUAL_MARGIN)
+
+    def is_active(self, now: float) -> bool:
+        """Returns whether a request arrived recently."""
+        return now - self.last_arrival < RECENT_S
+
+    def is_flooding(self, now: float) -> bool:
+        """Returns whether the service asks for more than it can have."""
+        if self.credit <= 0.0 and len(self.queue) >= FLOOD_QUEUE:
+            return True
+        return now - self.refused_at < FLOOD_S
+
+    def advance(self, passed: float, learns: bool, spare: float) -> None:
+        """Moves the figures forward in time.
+
+        Args:
+            passed: seconds since the last call.
+            learns: whether the present occupancy is a usual one.
+            spare: slots that the service may use beyond its share.
+        """
+        if learns:
+            self.learned = min(self.learned + passed, USUAL_TIME_S)
+            gain = min(1.0, passed / self.learned)
+            self.usual += gain * (self.busy - self.usual)
+        decay = math.exp(-passed / PRESSURE_TIME_S)
+        self.starts *= decay
+        self.refusals *= decay
+        cap = max(CREDIT_S * self.share, self.run_time)
+        self.credit = min(cap, self.credit + passed * self.share)
+        self.spare = min(self.run_time, self.spare + passed * spare)
+
+    def charge(self, slot_seconds: float, within: bool) -> None:
+        """Counts slot time, within the share or beyond it."""
+        if within:
+            self.credit -= slot_seconds
+        else:
+            self.spare -= slot_seconds
+        self.served += slot_seconds / WEIGHTS[self.urgency]
+
+    def record_run(self, took: float) -> None:
+        """Updates the mean run time, seconds."""
+        self.run_time += RUN_TIME_GAIN * (took - self.run_time)
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the state for dumps."""
+        return {
+            "urgency": self.urgency.name.lower(),
+            "busy": self.busy,
+            "queued": len(self.queue),
+            "usual_slots": round(self.usual, 3),
+            "share_slots": round(self.share, 3),
+            "credit_s": round(self.credit, 3),
+            "run_time_s": round(self.run_time, 4),
+        }
--- /dev/null
+++ b/jujuberun/retry.py
@@ -0,0 +1,128 @@
+"""Retries: whether, when and where a caller sends a request again."""
+
+import math
+import random
+from collections.abc import Collection, Mapping, Sequence
+
+from jujuberun.ids import DomainId, Outcome, TargetId
+
+RETRY_SHARE = 0.1  # retries per request
+MIN_RATE = 0.2  # retries per second that are always allowed
+BURST = 10.0  # retries that may be saved up
+BASE_DELAY_S = 0.05
+MAX_DELAY_S = 5.0
+
+
+class RetryBudget:
+    """Allows retries as a share of recent requests, and a small rate."""
+
+    def __init__(self, share: float, min_rate: float, burst: float) -> None:
+        self._share = share
+        self._min_rate = min_rate
+        self._burst = burst
+        self._tokens = burst
+        self._updated = -math.inf
+
+    @classmethod
+    def from_config(
+        cls,
+        share: float = RETRY_SHARE,
+        min_rate: float = MIN_RATE,
+        burst: float = BURST,
+    ) -> "RetryBudget":
+        """Builds a full budget.
+
+        Args:
+            share: retries per request.
+            min_rate: retries per second that are allowed without requests.
+            burst: retries that may be saved up, at least 1.
+        """
+        return cls(share, min_rate, max(1.0, burst))
+
+    def record_request(self, now: float) -> None:
+        """Counts a first attempt.
+
+        Args:
+            now: seconds, monotonic.
+        """
+        self._refill(now)
+        self._tokens = min(self._burst, self._tokens + self._share)
+
+    def allow_retry(self, now: float) -> bool:
+        """Takes one retry from the budget if there is one.
+
+        Args:
+            now: seconds, monotonic.
+        """
+        self._refill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _refill(self, now: float) -> None:
+        if self._updated != -math.inf:
+            passed = max(0.0, now - self._updated)
+            added = passed * self._min_rate
+            self._tokens = min(self._burst, self._tokens + added)
+        self._updated = max(now, self._updated)
+
+
+def may_resend(outcome: Outcome, idempotent: bool) -> bool:
+    """Returns whether a request may be sent again without running twice.
+
+    Args:
+        outcome: what is known of the last attempt.
+        idempotent: whether the request may run twice.
+    """
+    match outcome:
+        case Outcome.NOT_RUN:
+            return True
+        case Outcome.UNKNOWN:
+            return idempotent
+        case Outcome.ANSWERED:
+            return False
+
+
+def choose_delay(
+    attempt: int, rng: random.Random, retry_after: float = 0.0
+) -> float:
+    """Returns the seconds to wait before an attempt.
+
+    Exponential backoff with full jitter. A retry-after is a lower bound; the
+    jitter comes on top, so that callers told the same time spread out.
+
+    Args:
+        attempt: number of the attempt that failed, from 1.
+        rng: source of the jitter.
+        retry_after: what the last refusal asked for, seconds.
+    """
+    ceiling = min(MAX_DELAY_S, BASE_DELAY_S * 2.0 ** min(attempt, 32))
+    return retry_after + rng.uniform(0.0, ceiling)
+
+
+def choose_next(
+    candidates: Sequence[TargetId],
+    failed: Collection[TargetId],
+    domains: Mapping[TargetId, DomainId],
+) -> TargetId | None:
+    """Returns the target for the next attempt.
+
+    Args:
+        candidates: in order of preference.
+        failed: those that this request has already failed at.
+        domains: failure domain of each target.
+
+    Returns:
+        The first candidate in a failure domain without a failure, else the
+        first one that has not failed, else the first one; None without
+        candidates.
+    """
+    failed_domains = {domains[name] for name in failed if name in domains}
+    for name in candidates:
+        if domains.get(name) not in failed_domains:
+            return name
+    for name in candidates:
+        if name not in failed:
+            return name
+    return next(iter(candidates), None)
