--- /dev/null
+++ b/jujuberun/fifo.py
@@ -0,0 +1,46 @@
+"""The naive admission that measurements and tests compare with."""
+
+import math
+import random
+from collections import deque
+
+from jujuberun.ids import Outcome
+from jujuberun.request import Queue, Refuse, Request, Run, Verdict
+
+
+class FifoGate:
+    """The naive version: one unbounded FIFO queue, no admission."""
+
+    def __init__(self, slots: int, rng: random.Random) -> None:
+        self._slots = slots
+        self._busy = 0
+        self._queue: deque[Request] = deque()
+
+    def estimate_wait(self, request: Request, now: float) -> float:
+        """Returns the requests that run or wait, for want of a better one."""
+        return float(self._busy + len(self._queue))
+
+    def admit(self, request: Request, now: float) -> Verdict:
+        """Runs the request or queues it, whatever its deadline."""
+        if self._busy < self._slots and not self._queue:
+            self._busy += 1
+            return Run()
+        self._queue.append(request)
+        return Queue(math.nan)
+
+    def take_next(self, now: float) -> Request | None:
+        """Returns the oldest request, expired or not."""
+        if not self._queue or self._busy >= self._slots:
+            return None
+        self._busy += 1
+        return self._queue.popleft()
+
+    def take_refused(self, now: float) -> list[tuple[Request, Refuse]]:
+        """Returns nothing: no queued request is refused."""
+        return []
+
+    def finish(
+        self, request: Request, now: float, outcome: Outcome, shed: bool = False
+    ) -> None:
+        """Frees a slot."""
+        self._busy -= 1
--- a/jujuberun/lane.py
+++ b/jujuberun/lane.py
@@ -16,6 +16,10 @@
 FLOOD_QUEUE = 2  # or while so many requests wait without credit
 INITIAL_RUN_S = 0.05  # assumed run time of a service before the first finish
 RUN_TIME_GAIN = 0.1  # weight of the newest run in the mean run time
+# A pause of the process looks like a long run: a run counts at most this
+# multiple of the mean, and occupancy is not learned over longer gaps.
+MAX_RUN_RATIO = 8.0
+MAX_LEARN_GAP_S = 5.0
 PRESSURE_TIME_S = 5.0  # time constant of the ratio of refusals to starts
 
 # Share of the slots that a class has before anything is known of its services.
@@ -103,7 +107,7 @@
             learns: whether the present occupancy is a usual one.
             spare: slots that the service may use beyond its share.
         """
-        if learns:
+        if learns and passed <= MAX_LEARN_GAP_S:
             self.learned = min(self.learned + passed, USUAL_TIME_S)
             gain = min(1.0, passed / self.learned)
             self.usual += gain * (self.busy - self.usual)
@@ -124,7 +128,8 @@
 
     def record_run(self, took: float) -> None:
         """Updates the mean run time, seconds."""
-        self.run_time += RUN_TIME_GAIN * (took - self.run_time)
+        counted = min(took, MAX_RUN_RATIO * self.run_time)
+        self.run_time += RUN_TIME_GAIN * (counted - self.run_time)
 
     def describe(self) -> dict[str, Any]:
         """Returns the state for dumps."""
--- a/jujuberun/replay.py
+++ b/jujuberun/replay.py
@@ -3,7 +3,6 @@
 import heapq
 import math
 import random
-from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -18,7 +17,7 @@
     Urgency,
 )
 from jujuberun.manifest import Target
-from jujuberun.request import Queue, Refuse, Request, Run, Verdict
+from jujuberun.request import Refuse, Request, Run, Verdict
 from jujuberun.table import Table
 from jujuberun.trace import WORKLOADS, Arrival
 
@@ -48,44 +47,6 @@
         """Estimates the wait of a request."""
 
 
-class FifoGate:
-    """The naive version: one unbounded FIFO queue, no admission."""
-
-    def __init__(self, slots: int) -> None:
-        self._slots = slots
-        self._busy = 0
-        self._queue: deque[Request] = deque()
-
-    def estimate_wait(self, request: Request, now: float) -> float:
-        """Returns the requests that run or wait, for want of a better one."""
-        return float(self._busy + len(self._queue))
-
-    def admit(self, request: Request, now: float) -> Verdict:
-        """Runs the request or queues it, whatever its deadline."""
-        if self._busy < self._slots and not self._queue:
-            self._busy += 1
-            return Run()
-        self._queue.append(request)
-        return Queue(math.nan)
-
-    def take_next(self, now: float) -> Request | None:
-        """Returns the oldest request, expired or not."""
-        if not self._queue or self._busy >= self._slots:
-            return None
-        self._busy += 1
-        return self._queue.popleft()
-
-    def take_refused(self, now: float) -> list[tuple[Request, Refuse]]:
-        """Returns nothing: no queued request is refused."""
-        return []
-
-    def finish(
-        self, request: Request, now: float, outcome: Outcome, shed: bool = False
-    ) -> None:
-        """Frees a slot."""
-        self._busy -= 1
-
-
 @dataclass(slots=True)
 class Attempt:
     """One request on its way through the replay; times in seconds.
@@ -202,12 +163,10 @@
         self, arrival: Arrival, request: Request, now: float
     ) -> TargetId:
         """Returns the home, or one of two peers that Reserve finds better."""
+        candidates = self.find_candidates(arrival)
+        live = [t for t in candidates if t not in self.known_dead]
         return min(
-            (
-                t
-                for t in self.find_candidates(arrival)
-                if t not in self.known_dead
-            ),
+            live or candidates,
             key=lambda t: self._gates[t].estimate_wait(request, now),
         )
 
--- a/jujuberun/retry.py
+++ b/jujuberun/retry.py
@@ -8,7 +8,7 @@
 
 RETRY_SHARE = 0.1  # retries per request
 MIN_RATE = 0.2  # retries per second that are always allowed
-BURST = 10.0  # retries that may be saved up
+BURST = 3.0  # retries that may be saved up
 BASE_DELAY_S = 0.05
 MAX_DELAY_S = 5.0
 
