--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,379 @@
+import math
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from testtools import TestCase
+from testtools.matchers import GreaterThan, HasLength, IsInstance, LessThan
+
+from jujuberun.admission import (
+    FLOOD_DROP_S,
+    QUEUE_LIMIT,
+    SWEEP_S,
+    Admission,
+)
+from jujuberun.fifo import FifoGate
+from jujuberun.ids import Outcome, RequestId, ServiceId, Urgency
+from jujuberun.measure_flood import amplify_flood
+from jujuberun.replay import build_replay
+from jujuberun.request import Queue, Reason, Refuse, Request, Run
+from jujuberun.trace import load_trace
+
+SERVICES = {
+    "meal": Urgency.URGENT,
+    "stock": Urgency.NORMAL,
+    "label": Urgency.BULK,
+    "sheet": Urgency.BULK,
+}
+
+
+def make_request(
+    number: int, service: str = "meal", now: float = 0.0, patience=math.inf
+) -> Request:
+    return Request(
+        RequestId(str(number)),
+        ServiceId(service),
+        SERVICES[service],
+        now + patience,
+        False,
+        now,
+    )
+
+
+def make_admission(slots: int = 2) -> Admission:
+    return Admission.from_config(slots, random.Random(3))
+
+
+class Feed:
+    """Offers requests at a steady rate and runs them for a fixed time."""
+
+    def __init__(self, admission: Admission, work: float = 0.1) -> None:
+        self.admission = admission
+        self.work = work
+        self.now = 0.0
+        self.number = 0
+        self.started: list[tuple[float, Request]] = []
+        self.refused: list[tuple[Request, Refuse]] = []
+        self._ends: list[tuple[float, Request]] = []
+
+    def run(self, until: float, gaps: dict[str, float], patience=5.0) -> None:
+        due = {service: self.now + gap for service, gap in gaps.items()}
+        while self.now < until:
+            self.now += 0.005
+            for service, gap in gaps.items():
+                while due[service] <= self.now:
+                    due[service] += gap
+                    self.offer(service, patience)
+            self.step()
+
+    def offer(self, service: str, patience: float) -> None:
+        self.number += 1
+        request = make_request(self.number, service, self.now, patience)
+        match self.admission.admit(request, self.now):
+            case Run():
+                self._start(request)
+            case Refuse() as refusal:
+                self.refused.append((request, refusal))
+
+    def step(self) -> None:
+        for end, request in [e for e in self._ends if e[0] <= self.now]:
+            self._ends.remove((end, request))
+            self.admission.finish(request, self.now, Outcome.ANSWERED)
+        while (request := self.admission.take_next(self.now)) is not None:
+            self._start(request)
+        self.refused += self.admission.take_refused(self.now)
+
+    def _start(self, request: Request) -> None:
+        self.started.append((self.now, request))
+        self._ends.append((self.now + self.work, request))
+
+    def list_waits(self, service: str, start: float, end: float) -> list[float]:
+        return [
+            at - request.arrived
+            for at, request in self.started
+            if request.service == service and start <= request.arrived < end
+        ]
+
+
+class AdmissionTest(TestCase):
+    def test_urgent_work_goes_first(self):
+        # Guards against serving a queue across classes in order of arrival.
+        admission = make_admission(1)
+        running = make_request(0, "label")
+        self.assertIsInstance(admission.admit(running, 0.0), Run)
+        admission.admit(make_request(1, "label"), 0.0)
+        admission.admit(make_request(2, "meal"), 0.0)
+        admission.finish(running, 0.05, Outcome.ANSWERED)
+        self.assertEqual("2", admission.take_next(0.05).id)
+
+    def test_deadline_that_cannot_be_met_is_refused_on_arrival(self):
+        # Guards against queueing work that is useless when it gets a slot.
+        admission = make_admission(1)
+        admission.admit(make_request(0), 0.0)
+        verdict = admission.admit(make_request(1, patience=0.06), 0.0)
+        self.assertEqual(Reason.DEADLINE, verdict.reason)
+        verdict = admission.admit(make_request(2, patience=-1.0), 0.0)
+        self.assertEqual(Reason.EXPIRED, verdict.reason)
+
+    def test_pause_brings_no_expired_work_into_a_slot(self):
+        # Guards against a burst of expired work when a process resumes.
+        feed = Feed(make_admission())
+        feed.run(3.0, {"meal": 0.04, "label": 0.02}, patience=2.0)
+        queued = feed.admission.queued
+        self.assertThat(queued, GreaterThan(0))
+        feed.now += 10.0
+        begun = len(feed.started)
+        feed.step()
+        self.assertThat(feed.started, HasLength(begun))
+        self.assertEqual(0, feed.admission.queued)
+        for _, refusal in feed.refused[-queued:]:
+            self.assertEqual(Reason.EXPIRED, refusal.reason)
+
+    def test_long_pause_does_not_close_a_service(self):
+        # Guards against a mean run time that a pause of the process spoils:
+        # every deadline would then look too short, and nothing would run.
+        feed = Feed(make_admission())
+        feed.run(2.0, {"meal": 0.1}, patience=1.0)
+        feed.now += 600.0
+        feed.step()
+        feed.run(feed.now + 5.0, {"meal": 0.1}, patience=1.0)
+        waits = feed.list_waits("meal", feed.now - 4.0, feed.now)
+        self.assertThat(len(waits), GreaterThan(30))
+
+    def test_too_long_run_time_is_tested_again(self):
+        # Guards against refusing a service for good after slow runs.
+        admission = make_admission(1)
+        for number in range(60):
+            now = 100.0 * number
+            request = make_request(number, now=now)
+            admission.admit(request, now)
+            admission.finish(request, now + 50.0, Outcome.ANSWERED)
+        request = make_request(99, now=9000.0, patience=1.0)
+        self.assertIsInstance(admission.admit(request, 9000.0), Run)
+
+    def test_least_urgent_work_is_never_starved(self):
+        # Guards against strict priority: urgent work could fill all slots.
+        feed = Feed(make_admission())
+        feed.run(60.0, {"meal": 0.01, "label": 0.5}, patience=30.0)
+        times = [at for at, r in feed.started if r.service == "label"]
+        for start in range(0, 50):
+            done = [at for at in times if start <= at < start + 10.0]
+            self.assertThat(len(done), GreaterThan(0))
+
+    def test_services_of_a_class_share_fairly(self):
+        # Guards against one service that takes its class for itself.
+        feed = Feed(make_admission())
+        feed.run(60.0, {"label": 0.01, "sheet": 0.03}, patience=30.0)
+        counts = [len(feed.list_waits(s, 10, 60)) for s in ("label", "sheet")]
+        self.assertThat(max(counts), LessThan(1.5 * min(counts)))
+
+    def test_flood_then_opposite_flood(self):
+        # Guards against a first flood that spoils the shares in the second.
+        feed = Feed(make_admission())
+        feed.run(30.0, {"meal": 0.2, "label": 0.2})
+        feed.run(45.0, {"meal": 0.2, "label": 0.005})
+        feed.run(60.0, {"meal": 0.005, "label": 0.2})
+        kept = len(feed.list_waits("meal", 30, 45)) / (15 / 0.2)
+        self.assertThat(kept, GreaterThan(0.95))
+        self.assertThat(max(feed.list_waits("meal", 30, 60)), LessThan(1.0))
+        kept = len(feed.list_waits("label", 45, 60)) / (15 / 0.2)
+        self.assertThat(kept, GreaterThan(0.95))
+
+    def test_refused_callers_spread_out(self):
+        # Guards against refused callers that all return at the same time.
+        feed = Feed(make_admission())
+        feed.run(10.0, {"label": 0.005})
+        times = [refusal.retry_after for _, refusal in feed.refused[-500:]]
+        self.assertThat(min(times), GreaterThan(0.0))
+        self.assertThat(max(times), GreaterThan(2.5 * min(times)))
+        rounded = {round(time, 1) for time in times}
+        self.assertThat(len(rounded), GreaterThan(50))
+
+    def test_queues_are_bounded_and_divided(self):
+        # Guards against unbounded memory and against a service that fills the
+        # queue of its class so that others find no room.
+        admission = make_admission(64)
+        for number in range(64):
+            admission.admit(make_request(number, "meal"), 0.0)
+        for number in range(100, 400):
+            admission.admit(make_request(number, "label"), 0.0)
+        self.assertThat(admission.queued, LessThan(QUEUE_LIMIT + 1))
+        verdict = admission.admit(make_request(400, "sheet"), 0.0)
+        self.assertThat(verdict, IsInstance(Queue))
+        self.assertThat(admission.queued, LessThan(QUEUE_LIMIT + 1))
+        pushed = [refusal for _, refusal in admission.take_refused(0.0)]
+        self.assertEqual(Reason.QUEUE_FULL, pushed[0].reason)
+
+    def test_limit_follows_a_target_that_sheds(self):
+        # Guards against offering all slots to a target that refuses work, and
+        # against staying there when it recovers.
+        admission = make_admission(8)
+        now, sheds, number = 0.0, [], 0
+        for phase, capacity in enumerate((4, 8)):
+            sheds.append(0)
+            for _ in range(400):
+                now += 0.05
+                batch = []
+                for _ in range(8):
+                    number += 1
+                    request = make_request(number, "stock", now)
+                    if isinstance(admission.admit(request, now), Run):
+                        batch.append(request)
+                now += 0.05
+                for place, request in enumerate(batch):
+                    shed = place >= capacity
+                    sheds[phase] += shed
+                    outcome = Outcome.NOT_RUN if shed else Outcome.ANSWERED
+                    admission.finish(request, now, outcome, shed)
+                while (request := admission.take_next(now)) is not None:
+                    admission.finish(request, now, Outcome.ANSWERED)
+        # A fixed limit of 8 would shed 4 in each of the 400 rounds.
+        self.assertThat(sheds[0], LessThan(400))
+        self.assertEqual(8, admission.limit)
+
+    def test_known_id_is_not_refused(self):
+        # Guards against "not run" for an id that runs (R4).
+        admission = make_admission()
+        admission.admit(make_request(0), 0.0)
+        self.assertRaises(ValueError, admission.admit, make_request(0), 0.0)
+
+    def test_flood_waits_shortly(self):
+        # Guards against a long queue that delays a service after its flood.
+        feed = Feed(make_admission())
+        feed.run(10.0, {"meal": 0.2, "label": 0.2})
+        feed.run(20.0, {"meal": 0.2, "label": 0.005})
+        longest = max(feed.list_waits("label", 12.0, 20.0))
+        self.assertThat(longest, LessThan(FLOOD_DROP_S + 2 * SWEEP_S))
+
+
+class TraceTest(TestCase):
+    def replay(self, build_gate) -> list:
+        trace = [a for a in load_trace("montreal") if 25.0 <= a.at < 52.0]
+        flood = amplify_flood("montreal", trace)
+        return build_replay("montreal", True, build_gate).run(flood)
+
+    def test_admission_beats_fifo_in_a_flood(self):
+        # Guards against admission that does worse than none at all.
+        useful, waits = [], []
+        for build_gate in (Admission.from_config, FifoGate):
+            attempts = [
+                attempt
+                for attempt in self.replay(build_gate)
+                if attempt.request.service == "meal-change"
+                and attempt.arrival.at >= 45.0
+            ]
+            useful.append(sum(a.useful for a in attempts) / len(attempts))
+            waits.append(max(a.wait for a in attempts if a.started is not None))
+        self.assertThat(useful[0], GreaterThan(0.95))
+        self.assertThat(useful[0], GreaterThan(useful[1]))
+        self.assertThat(waits[0], LessThan(1.0))
+
+    def test_no_work_starts_after_its_deadline(self):
+        # Guards against expired work in a slot.
+        for attempt in self.replay(Admission.from_config):
+            if attempt.started is not None:
+                self.assertThat(
+                    attempt.started, LessThan(attempt.arrival.deadline)
+                )
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Every request ends once, and slots are never exceeded."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.admission = make_admission(3)
+        self.now = 0.0
+        self.number = 0
+        self.waiting: dict[str, Request] = {}
+        self.running: dict[str, Request] = {}
+        self.ended: set[str] = set()
+
+    def end(self, request: Request) -> None:
+        assert request.id not in self.ended
+        self.ended.add(request.id)
+
+    @rule(
+        service=st.sampled_from(sorted(SERVICES)),
+        patience=st.sampled_from((-0.1, 0.04, 0.2, 1.0, 30.0, math.inf)),
+        count=st.integers(1, 12),
+    )
+    def submit(self, service, patience, count):
+        for _ in range(count):
+            self.number += 1
+            request = make_request(self.number, service, self.now, patience)
+            match self.admission.admit(request, self.now):
+                case Run():
+                    assert request.deadline > self.now
+                    self.running[request.id] = request
+                case Queue():
+                    self.waiting[request.id] = request
+                case Refuse(_, retry_after):
+                    assert retry_after > 0.0
+                    self.end(request)
+
+    @rule(passed=st.sampled_from((0.001, 0.05, 0.5, 10.0, 700.0)))
+    def wait(self, passed):
+        self.now += passed
+
+    @rule()
+    def take(self):
+        while (request := self.admission.take_next(self.now)) is not None:
+            del self.waiting[request.id]
+            assert request.deadline > self.now
+            self.running[request.id] = request
+
+    @rule()
+    def collect(self):
+        for request, _ in self.admission.take_refused(self.now):
+            assert request.id not in self.running
+            del self.waiting[request.id]
+            self.end(request)
+
+    @rule(data=st.data(), shed=st.booleans())
+    def finish(self, data, shed):
+        if not self.running:
+            return
+        name = data.draw(st.sampled_from(sorted(self.running)))
+        request = self.running.pop(name)
+        self.admission.finish(request, self.now, Outcome.ANSWERED, shed)
+        self.end(request)
+
+    @rule(data=st.data())
+    def cancel(self, data):
+        known = self.waiting | self.running
+        if not known:
+            return
+        request = known[data.draw(st.sampled_from(sorted(known)))]
+        if self.admission.cancel(request, self.now):
+            del self.waiting[request.id]
+            self.end(request)
+        elif request.id in self.waiting:
+            # It was refused before it was cancelled; collect() returns it.
+            self.collect()
+            assert request.id not in self.waiting
+
+    @invariant()
+    def slots_are_not_exceeded(self):
+        assert self.admission.busy == len(self.running) <= 3
+
+    def teardown(self):
+        for _ in range(1000):
+            if not self.waiting and not self.running:
+                break
+            for request in list(self.running.values()):
+                del self.running[request.id]
+                self.admission.finish(request, self.now, Outcome.ANSWERED)
+                self.end(request)
+            self.now += 0.1
+            self.take()
+            self.collect()
+        assert len(self.ended) == self.number
+        assert self.admission.queued == self.admission.busy == 0
+
+
+AdmissionMachineTest = AdmissionMachine.TestCase
+AdmissionMachineTest.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,130 @@
+import math
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import GreaterThan, HasLength, LessThan
+
+from jujuberun.ids import ServiceId
+from jujuberun.limits import StartLimits
+from jujuberun.measure import Options
+from jujuberun.measure_shares import SENDERS, measure
+from jujuberun.shares import (
+    CPU_SHARE,
+    HANDSHAKE_S,
+    PERIOD_S,
+    REQUEST_S,
+    StartShares,
+    compute_start_rate,
+    divide_by_use,
+    divide_fairly,
+)
+
+LABEL = ServiceId("label")
+MEAL = ServiceId("meal-change")
+AGENT = ("192.0.2.99", 7100)
+
+
+def offer(shares: StartShares, service: ServiceId, rate: float) -> None:
+    for index in range(int(rate * PERIOD_S)):
+        shares.record_start(service, SENDERS[index % len(SENDERS)])
+
+
+class SharesTest(TestCase):
+    def test_starts_fit_into_the_cpu_share(self):
+        # Guards against handshakes that take the CPU time of known flows.
+        for requests in (0.0, 500.0, 1500.0):
+            rate = compute_start_rate(requests)
+            used = rate * (HANDSHAKE_S + REQUEST_S) + requests * REQUEST_S
+            self.assertThat(used, LessThan(CPU_SHARE + 1e-9))
+        self.assertThat(compute_start_rate(1e6), GreaterThan(0.0))
+
+    def test_quiet_agent_grants_nothing(self):
+        # Guards against limits without overload.
+        shares = StartShares.from_config()
+        for period in range(5):
+            offer(shares, LABEL, 20.0)
+            self.assertEqual([], shares.compute_grants(PERIOD_S * period))
+
+    def test_only_the_flooding_service_is_limited(self):
+        # Guards against a flood that takes the starts of other services.
+        shares = StartShares.from_config()
+        shares.compute_grants(0.0)
+        offer(shares, LABEL, 2000.0)
+        offer(shares, MEAL, 20.0)
+        grants = shares.compute_grants(PERIOD_S)
+        self.assertEqual({LABEL}, {grant.service for grant in grants})
+        self.assertThat(grants, HasLength(len(SENDERS)))
+        total = sum(grant.rate for grant in grants)
+        self.assertAlmostEqual(compute_start_rate(0.0) - 20.0, total)
+
+    def test_pause_gives_no_grants(self):
+        # Guards against rates computed from the counts of a pause.
+        shares = StartShares.from_config()
+        shares.compute_grants(0.0)
+        offer(shares, LABEL, 2000.0)
+        self.assertEqual([], shares.compute_grants(60.0))
+
+    def test_flood_is_held_and_released(self):
+        # Guards against a limit that does not hold, oscillates or stays.
+        rng = random.Random(2)
+        shares = StartShares.from_config()
+        limits = {s: StartLimits.from_config(rng) for s in SENDERS}
+        reached = []
+        for period in range(30):
+            offered = 2000 if 5 <= period < 20 else 40
+            count = 0
+            for index in range(int(offered * PERIOD_S)):
+                now = PERIOD_S * period + index / offered
+                sender = rng.choice(SENDERS)
+                if limits[sender].check_start(LABEL, now) is None:
+                    shares.record_start(LABEL, sender)
+                    count += 1
+            reached.append(count / PERIOD_S)
+            now = PERIOD_S * (period + 1)
+            for grant in shares.compute_grants(now):
+                limits[grant.balancer].grant(
+                    LABEL, AGENT, grant.rate, grant.expires, 1, now
+                )
+        rate = compute_start_rate(0.0)
+        for held in reached[6:20]:
+            self.assertThat(held, GreaterThan(0.8 * rate))
+            self.assertThat(held, LessThan(1.1 * rate))
+        self.assertEqual([40.0] * 6, reached[24:])
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(
+        rate=st.floats(0.1, 1e4),
+        wanted=st.dictionaries(
+            st.sampled_from("abcdef"),
+            st.floats(0.0, 1e4) | st.just(math.inf),
+            min_size=1,
+        ),
+    )
+    def test_fair_division(self, rate, wanted):
+        # Guards against shares that exceed the rate or the demand, and
+        # against unused rate while a service wants more.
+        shares = divide_fairly(rate, wanted)
+        total = sum(shares.values())
+        self.assertThat(total, LessThan(rate * 1.0001))
+        for service, share in shares.items():
+            self.assertTrue(share <= wanted[service])
+            if share < wanted[service] * 0.9999:
+                self.assertTrue(share >= max(shares.values()) * 0.9999)
+                self.assertAlmostEqual(rate, total, delta=rate * 1e-4)
+
+    def test_division_by_use_lets_all_begin(self):
+        # Guards against a balancer that never gets a rate because it had none.
+        rates = divide_by_use(
+            100.0, dict(zip(SENDERS, (9, 3, 0, 0), strict=True))
+        )
+        self.assertAlmostEqual(100.0, sum(rates.values()))
+        self.assertThat(min(rates.values()), GreaterThan(0.0))
+
+    def test_division_by_use_loses_to_equal_shares_nowhere(self):
+        # Guards against keeping a division that is worse than equal shares;
+        # two starts more or less are chance.
+        for row in measure(Options(quick=True)).rows:
+            if "by use" in row.name:
+                self.assertThat(row.ours, GreaterThan(row.naive - 1.0))
