Assemble the daemon from all parts

The agent is split into delivery (agent) and ownership; load and health of a service's targets are kept by a part of their own, which tells two agents of the same service each second. Balancers refuse start packets beyond what agents granted.

--- a/jujuberun/balancer.py
+++ b/jujuberun/balancer.py
@@ -1,6 +1,7 @@
 """Balancer: forwards callers' packets to agents, and answers to callers."""
 
 import logging
+import random
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -8,11 +9,12 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from jujuberun.cache import FlowCache
+from jujuberun.cache import DEFAULT_CAPACITY, FlowCache
 from jujuberun.errors import WireError
 from jujuberun.generations import Generations, Version
 from jujuberun.ids import Address, Generation, ServiceId, TargetId
 from jujuberun.kernel import Kernel
+from jujuberun.limits import StartLimits
 from jujuberun.manifest import Service, format_address
 from jujuberun.peers import Peer, Peers
 from jujuberun.port import Port, SocketPort
@@ -22,6 +24,7 @@
     Answer,
     Forward,
     ForwardRoute,
+    Grant,
     Hint,
     ProbeReply,
     Reset,
@@ -60,13 +63,19 @@
 class Listener:
     """The socket of one service address and the routes of its flows."""
 
-    def __init__(self, port: Port, service: Service, version: Version) -> None:
+    def __init__(
+        self,
+        port: Port,
+        service: Service,
+        version: Version,
+        cache_flows: int = DEFAULT_CAPACITY,
+    ) -> None:
         self.port = port
         self.address = service.address
         self.packed = pack_address(service.address)
         self.service = service
         self.version = version  # the last one with this service
-        self.cache: FlowCache[Route] = FlowCache()
+        self.cache: FlowCache[Route] = FlowCache(cache_flows)
         self.owner_routes: dict[tuple[str, str, Address], Route] = {}
         self.home_routes: dict[tuple[str, ...], Route] = {}
         self.used = 0.0
@@ -85,18 +94,23 @@
         generations: Generations,
         open_port: Callable[[Address], Port],
         local_addresses: dict[Address, Address],
+        limits: StartLimits,
+        cache_flows: int = DEFAULT_CAPACITY,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._peers = peers
         self._generations = generations
         self._open_port = open_port
         self._local_addresses = local_addresses
+        self._limits = limits
+        self._cache_flows = cache_flows
         self._version: Version | None = None
         self._listeners: dict[bytes, Listener] = {}
         self._changed = anyio.Event()
         peers.register(Answer, self.handle_answer)
         peers.register(Hint, self._handle_hint)
         peers.register(Reset, self._handle_reset)
+        peers.register(Grant, self._handle_grant)
 
     @classmethod
     def from_config(cls, settings: Settings, kernel: Kernel) -> "Balancer":
@@ -106,9 +120,13 @@
             kernel.find("generations"),
             SocketPort.bind,
             settings.addresses,
+            StartLimits.from_config(random.Random()),
+            settings.balancer.cache_flows,
         )
 
-    async def run(self, task_status: TaskStatus[None]) -> None:
+    async def run(
+        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
         """Serves the addresses of the manifest in force."""
         async with anyio.create_task_group() as group:
             self._generations.subscribe(self._note_version)
@@ -199,7 +217,11 @@
                 "retired": listener.retired,
                 "cached_flows": len(listener.cache),
             }
-        return {"addresses": addresses, "counts": dict(self.counts)}
+        return {
+            "addresses": addresses,
+            "start_limits": self._limits.describe(now),
+            "counts": dict(self.counts),
+        }
 
     def _explain(
         self, listener: Listener, caller: Address, now: float
@@ -230,6 +252,11 @@
 
     def _note_version(self, version: Version) -> None:
         self._version = version
+        counts = {
+            service.id: len(service.targets)
+            for service in version.manifest.services.values()
+        }
+        self._limits.set_agents(counts, version.since)
         self._changed.set()
 
     def _open_listeners(self, group: Any, version: Version) -> None:
@@ -258,7 +285,7 @@
                 )
                 self.counts["bind_failed"] += 1
                 continue
-            listener = Listener(port, service, version)
+            listener = Listener(port, service, version, self._cache_flows)
             listener.used = now
             self.add_listener(listener)
             group.start_soon(self._serve, listener)
@@ -289,9 +316,18 @@
         if len(payload) > MAX_PAYLOAD_BYTES:
             self.counts["oversized"] += 1
             return None
+        service = listener.service
+        if service.first_packet.accepts(payload):
+            refusal = self._limits.check_start(service.id, now)
+            if refusal is not None:
+                self.counts["starts_refused"] += 1
+                wait = int(refusal.retry_after * 1000)
+                data = make_reset("overloaded", wait, payload)
+                listener.port.send(data, unpack_address(caller))
+                return None
         flow = make_flow_id(listener.packed, caller)
         tables = listener.version.tables
-        candidates = tables.find_candidates(listener.service, flow)
+        candidates = tables.find_candidates(service, flow)
         home = self._choose_home(listener, candidates, now)
         key = (home, *candidates)
         route = listener.home_routes.get(key)
@@ -382,6 +418,19 @@
         caller = unpack_address(hint.caller)
         self._learn_owner(listener, hint.service_id, caller, hint.owner, agent)
 
+    def _handle_grant(self, grant: Any, sender: Address, now: float) -> None:
+        service = self._version.manifest.services.get(grant.service_id)
+        if service is None:
+            return
+        self._limits.grant(
+            service.id,
+            sender,
+            grant.rate,
+            grant.expires / 1000,
+            len(service.targets),
+            now,
+        )
+
     def _handle_reset(self, reset: Any, sender: Address, now: float) -> None:
         listener = self._listeners.get(reset.address)
         if listener is None:
--- /dev/null
+++ b/jujuberun/beliefs.py
@@ -0,0 +1,285 @@
+"""Beliefs of an agent about the targets of its services, kept by messages."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+
+from jujuberun.backend import Evidence as Exchange
+from jujuberun.backend import EvidenceKind
+from jujuberun.evidence import (
+    Answered,
+    Claimed,
+    Evidence,
+    Failed,
+    Heard,
+    Listed,
+    Refused,
+    Silent,
+    Started,
+    WasReset,
+)
+from jujuberun.generations import Generations, Version
+from jujuberun.ids import Address, ServiceId, TargetId
+from jujuberun.loads import TargetLoad
+from jujuberun.manifest import Target
+from jujuberun.members import Members, VmList
+from jujuberun.peers import Peer, Peers, PeerState
+from jujuberun.placement import ActiveTargets, choose_owner, choose_peers
+from jujuberun.view import LoadReport, View
+from jujuberun.wire import Load, Loads
+
+UPDATE_S = 0.25
+REPORT_S = 1.0
+REPORT_PEERS = 2
+
+
+class Beliefs:
+    """Part "beliefs": load, health and active targets of own services.
+
+    Attributes:
+        read_load: returns the present load of the own target.
+        is_draining: returns whether the own target takes no new work.
+    """
+
+    name = "beliefs"
+
+    def __init__(
+        self,
+        target: TargetId,
+        peers: Peers,
+        generations: Generations,
+        members: Members,
+        rng: random.Random,
+    ) -> None:
+        self.read_load: Callable[[], TargetLoad] = lambda: TargetLoad(0, 0, 0)
+        self.is_draining: Callable[[], bool] = lambda: False
+        self._target = target
+        self._peers = peers
+        self._generations = generations
+        self._rng = rng
+        self._views: dict[ServiceId, View] = {}
+        self._built: dict[ServiceId, tuple[tuple[Target, ...], float]] = {}
+        self._targets: dict[Address, Target] = {}
+        self._silent: set[Address] = set()
+        self._reported = 0.0
+        peers.register(Loads, self._handle_loads)
+        peers.subscribe_restarts(self._note_restart)
+        generations.subscribe(self._note_version)
+        members.subscribe(self._note_members)
+
+    async def run(
+        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Renews beliefs and tells peers of the same services."""
+        task_status.started()
+        while True:
+            self.update(anyio.current_time())
+            await anyio.sleep(UPDATE_S)
+
+    def update(self, now: float) -> None:
+        """Takes the silence of peers and the own load, and reports.
+
+        Args:
+            now: seconds, monotonic.
+        """
+        self._note_silence(now)
+        reports = now - self._reported >= REPORT_S
+        own = Claimed(healthy=True, draining=self.is_draining(), age=0.0)
+        for service_id, view in self._views.items():
+            view.tick(now)
+            view.hear(LoadReport(self._target, self.read_load(), own), now)
+            view.update(now)
+            if reports:
+                self._report(service_id, view, now)
+        if reports:
+            self._reported = now
+
+    def choose_owner(
+        self,
+        service_id: ServiceId,
+        candidates: tuple[TargetId, ...],
+        passed: tuple[str, ...],
+        now: float,
+    ) -> TargetId | None:
+        """Chooses the owner of a new flow.
+
+        Args:
+            service_id: service of the flow.
+            candidates: of the flow, the home first.
+            passed: targets that the start packet has passed.
+            now: seconds, monotonic.
+
+        Returns:
+            The owner, or None when no target has room.
+        """
+        view = self._views.get(service_id)
+        if view is None:
+            return None
+        active = view.active
+        if passed:
+            active = ActiveTargets(t for t in active if t not in passed)
+        owner = choose_owner(candidates, view.loads, active, now)
+        if owner is not None:
+            view.loads.note_assigned(owner)
+        return owner
+
+    def find_idle_peers(
+        self, service_id: ServiceId, now: float
+    ) -> tuple[Address, ...]:
+        """Returns agents to ask for a slot, the first one first.
+
+        Args:
+            service_id: service of the request.
+            now: seconds, monotonic.
+        """
+        view = self._views.get(service_id)
+        if view is None:
+            return ()
+        names = choose_peers(
+            self._target, view.loads, view.active, now, self._rng
+        )
+        targets = self._generations.current.manifest.targets
+        return tuple(targets[n].agent for n in names if n in targets)
+
+    def note_exchange(self, exchange: Exchange, now: float) -> None:
+        """Takes evidence of an exchange with the own target.
+
+        Args:
+            exchange: what happened.
+            now: seconds, monotonic.
+        """
+        self._record(self._target, _read_exchange(exchange), now)
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Returns active, suspected and leaving targets by service."""
+        state = {}
+        for service_id, view in self._views.items():
+            names = frozenset(view.names)
+            health = view.health
+            state[service_id] = {
+                "targets": len(names),
+                "active": len(view.active),
+                "suspected": sorted(health.find_suspects(names, now)),
+                "leaving": sorted(health.find_leaving(names, now)),
+            }
+        return state
+
+    def _record(self, target: TargetId, evidence: Evidence, now: float) -> None:
+        for view in self._views.values():
+            if target in view.names:
+                view.record(target, evidence, now)
+
+    def _note_version(self, version: Version) -> None:
+        manifest = version.manifest
+        views, built = {}, {}
+        for service in manifest.services.values():
+            if self._target not in service.targets:
+                continue
+            targets = tuple(manifest.targets[n] for n in service.targets)
+            key = (targets, service.headroom)
+            view = self._views.get(service.id)
+            if view is None or self._built[service.id] != key:
+                view = self._rebuild(view, targets, service.headroom)
+            views[service.id], built[service.id] = view, key
+        self._views, self._built = views, built
+        self._targets = {
+            target.agent: target
+            for targets, _ in built.values()
+            for target in targets
+        }
+
+    def _rebuild(
+        self, old: View | None, targets: tuple[Target, ...], headroom: float
+    ) -> View:
+        """Builds a view that keeps what is known of targets that stay."""
+        view = View(targets, headroom)
+        if old is not None:
+            now = anyio.current_time()
+            for report in old.list_reports(now):
+                view.hear(report, now)
+        return view
+
+    def _note_members(self, vm_list: VmList) -> None:
+        now = anyio.current_time()
+        for vm in vm_list.vms.values():
+            target = self._targets.get(vm.peer)
+            if target is not None:
+                self._record(target.id, Listed(vm.state, 0.0), now)
+
+    def _note_restart(self, peer: Peer, now: float) -> None:
+        target = self._targets.get(peer.address)
+        if target is not None:
+            self._record(target.id, Started(), now)
+
+    def _note_silence(self, now: float) -> None:
+        silent = set()
+        for address, target in self._targets.items():
+            if address == self._peers.address:
+                continue
+            state = self._peers.find(address).judge(now)
+            if state in (PeerState.SUSPECTED, PeerState.GONE):
+                silent.add(address)
+                if address not in self._silent:
+                    self._record(target.id, Silent(), now)
+            elif address in self._silent:
+                self._record(target.id, Heard(), now)
+        self._silent = silent
+
+    def _report(self, service_id: ServiceId, view: View, now: float) -> None:
+        others = [
+            address
+            for address, target in self._targets.items()
+            if target.id in view.names and address != self._peers.address
+        ]
+        reports = [_encode(report) for report in view.list_reports(now)]
+        message = Loads(service_id, reports)
+        count = min(REPORT_PEERS, len(others))
+        for address in self._rng.sample(others, count):
+            self._peers.send(message, address)
+
+    def _handle_loads(self, loads: Any, sender: Address, now: float) -> None:
+        view = self._views.get(loads.service_id)
+        if view is None:
+            return
+        for load in loads.loads:
+            # Only this agent itself knows its own load.
+            if load.target != self._target:
+                view.hear(_decode(load), now)
+
+
+def _read_exchange(exchange: Exchange) -> Evidence:
+    match exchange.kind:
+        case EvidenceKind.ANSWER:
+            return Answered(exchange.seconds)
+        case EvidenceKind.REFUSAL:
+            return Refused()
+        case EvidenceKind.BROKEN:
+            return WasReset()
+        case EvidenceKind.ERROR | EvidenceKind.SILENCE:
+            return Failed()
+
+
+def _encode(report: LoadReport) -> Any:
+    claim = report.claim
+    load = Load(
+        report.target,
+        age=int(claim.age * 1000),
+        draining=claim.draining,
+        healthy=claim.healthy,
+    )
+    if report.load is not None:
+        load.busy = report.load.busy
+        load.queued = report.load.queued
+        load.flows = report.load.flows
+    return load
+
+
+def _decode(load: Any) -> LoadReport:
+    known = None
+    if load.busy is not None:
+        known = TargetLoad(load.busy, load.queued, load.flows)
+    claim = Claimed(bool(load.healthy), bool(load.draining), load.age / 1000)
+    return LoadReport(load.target, known, claim)
--- a/jujuberun/jujuberun.thrift
+++ b/jujuberun/jujuberun.thrift
@@ -72,13 +72,11 @@
   4: list<FlowRecord> flows
   5: list<binary> gone
   6: i64 token
-  7: i32 owned                  // flows that the owner holds
 }
 
 // Acknowledges a Register.
 struct RegisterReply {
   1: i64 token
-  2: i32 owned                  // flows that the answering agent holds
 }
 
 // Tells an agent that a flow is not its own, or a home that the owner gave
@@ -90,15 +88,22 @@
 
 struct Load {
   1: string target
-  2: i32 busy
-  3: i32 queued
-  4: i32 flows
+  2: optional i32 busy
+  3: optional i32 queued
+  4: optional i32 flows
   5: i32 age
   6: bool draining
   7: bool healthy
 }
 
-// Generation news and load, sent to a few random peers each second.
+// Load of targets of one service, sent to two of its agents each second. A
+// claim against a target has no load fields.
+struct Loads {
+  1: string service_id
+  2: list<Load> loads
+}
+
+// Generation news, sent to a few random peers each second.
 struct Status {
   1: string vm
   2: i64 generation
@@ -218,6 +223,7 @@
   23: optional Cancel cancel
   24: optional Grant grant
   25: optional RegisterReply register_reply
+  26: optional Loads loads
   30: optional Fetch fetch
   31: optional Document document
   32: optional Run run
--- a/jujuberun/kernel.py
+++ b/jujuberun/kernel.py
@@ -3,7 +3,7 @@
 from typing import Any, Protocol
 
 import anyio
-from anyio.abc import TaskStatus
+from anyio.abc import TaskGroup, TaskStatus
 
 from jujuberun.errors import JujuberunError
 
@@ -31,10 +31,11 @@
         self._parts: dict[str, Part] = {}
         # A scope needs a running event loop, which the daemon starts later.
         self._scope: anyio.CancelScope | None = None
+        self._group: TaskGroup | None = None
         self._stopped = False
 
     def register(self, part: Part) -> None:
-        """Adds a part.
+        """Adds a part; it starts at once when the kernel runs already.
 
         Raises:
             JujuberunError: the name is taken.
@@ -42,6 +43,8 @@
         if part.name in self._parts:
             raise JujuberunError("register part", part.name, "name is taken")
         self._parts[part.name] = part
+        if self._group is not None:
+            self._group.start_soon(part.run)
 
     def find(self, name: str) -> Any:
         """Returns the part with this name.
@@ -67,8 +70,9 @@
             return
         with anyio.CancelScope() as self._scope:
             async with anyio.create_task_group() as group:
-                for part in self._parts.values():
+                for part in self.list_parts():
                     await group.start(part.run)
+                self._group = group
                 task_status.started()
                 await anyio.sleep_forever()
 
--- a/jujuberun/measure_forwarding.py
+++ b/jujuberun/measure_forwarding.py
@@ -8,6 +8,7 @@
 from jujuberun.balancer import Balancer, Listener
 from jujuberun.generations import Generations
 from jujuberun.ids import FlowId
+from jujuberun.limits import StartLimits
 from jujuberun.manifest import dump_manifest
 from jujuberun.measure import Options, Report, Row
 from jujuberun.peers import Peers
@@ -39,7 +40,13 @@
             SocketPort.bind(("127.0.0.1", 0)),
             Codec(Signer([b"k" * 16])),
         )
-        self.balancer = Balancer(self.peers, generations, SocketPort.bind, {})
+        self.balancer = Balancer(
+            self.peers,
+            generations,
+            SocketPort.bind,
+            {},
+            StartLimits.from_config(self.rng),
+        )
         self.listener = Listener(
             SocketPort.bind(("127.0.0.1", 0)),
             version.manifest.services["s-0"],
--- a/jujuberun/peers.py
+++ b/jujuberun/peers.py
@@ -179,7 +179,9 @@
             return
         self.port.send(data, address)
 
-    async def run(self, task_status: TaskStatus[None]) -> None:
+    async def run(
+        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
         """Receives messages and probes silent peers."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._tick)
--- a/jujuberun/registrar.py
+++ b/jujuberun/registrar.py
@@ -1,7 +1,6 @@
 """Registration of owned flows with their home and backup agents."""
 
 import itertools
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -62,14 +61,10 @@
         target: TargetId,
         peers: Peers,
         views: Views,
-        count_owned: Callable[[], int],
-        note_load: Callable[[Address, int, float], None],
     ) -> None:
         self._target = target
         self._peers = peers
         self._views = views
-        self._count_owned = count_owned
-        self._note_load = note_load
         self._records: dict[FlowId, Record] = {}
         self._due: dict[FlowId, None] = {}
         self._ended: list[Record] = []
@@ -156,7 +151,6 @@
                 flows[start:end],
                 gone[start:end],
                 token,
-                self._count_owned(),
             )
             waiting = Unacknowledged(home, message, now, 1)
             self._unacknowledged[token] = waiting
@@ -175,7 +169,6 @@
 
     def _handle_reply(self, reply: Any, sender: Address, now: float) -> None:
         self._unacknowledged.pop(reply.token, None)
-        self._note_load(sender, reply.owned, now)
 
     def dump_state(self) -> dict[str, Any]:
         """Returns numbers of flows by state of their registration."""
--- a/jujuberun/runner.py
+++ b/jujuberun/runner.py
@@ -12,6 +12,7 @@
 from jujuberun.ids import Outcome
 from jujuberun.manifest import Target
 from jujuberun.register import First, Register, Second, Settled
+from jujuberun.request import Queue, Refuse, Run, Verdict
 from jujuberun.work import Work, WorkResult, lose, refuse
 
 PUMP_S = 0.05  # admission may let a request go on by time alone
@@ -25,12 +26,18 @@
     admit returns an instance of its classes Run, Queue or Refuse.
     """
 
-    def admit(self, request: Any, now: float) -> Any:
+    def admit(self, request: Any, now: float) -> Verdict:
         """Returns Run, Queue or Refuse(reason, retry_after) for a request."""
 
     def finish(self, request: Any, now: float, outcome: Outcome) -> None:
         """Frees the slot of a request that admit or take_next let run."""
 
+    def cancel(self, request: Any, now: float) -> bool:
+        """Removes a request that waits."""
+
+    def take_refused(self, now: float) -> list[tuple[Any, Any]]:
+        """Returns requests refused after they were queued."""
+
     def take_next(self, now: float) -> Any | None:
         """Returns a queued request that now has a slot, or None."""
 
@@ -188,8 +195,12 @@
         """
         if self.draining or self._waiting or self.running >= self.slots:
             return False
-        if not _lets_run(self._admission.admit(placeholder, now)):
-            return False
+        match self._admission.admit(placeholder, now):
+            case Refuse():
+                return False
+            case Queue():
+                self._admission.cancel(placeholder, now)
+                return False
         self.running += 1
         return True
 
@@ -239,15 +250,15 @@
 
     async def _take_turn(self, turn: _Turn, now: float) -> WorkResult:
         work = turn.work
-        decision = self._admission.admit(work, now)
-        if hasattr(decision, "retry_after"):
-            return refuse(decision.reason, decision.retry_after)
-        if _lets_run(decision):
-            turn.state = _State.STARTED
-            self.running += 1
-        else:
-            turn.queued = True
-            self._waiting[work.id] = turn
+        match self._admission.admit(work, now):
+            case Refuse(reason, retry_after):
+                return refuse(reason.value, retry_after)
+            case Run():
+                turn.state = _State.STARTED
+                self.running += 1
+            case Queue():
+                turn.queued = True
+                self._waiting[work.id] = turn
         result = None
         try:
             if turn.state is _State.WAITING:
@@ -315,13 +326,13 @@
                     return False
         turn.state = _State.WAITING
         if not turn.queued:
-            decision = self._admission.admit(work, self._clock())
-            if hasattr(decision, "retry_after"):
-                return False
-            turn.queued = True
-            if _lets_run(decision):
-                turn.queued = False
-                self._start(turn)
+            match self._admission.admit(work, self._clock()):
+                case Refuse():
+                    return False
+                case Run():
+                    self._start(turn)
+                case Queue():
+                    turn.queued = True
         return True
 
     async def _call(self, turn: _Turn) -> WorkResult:
@@ -333,6 +344,8 @@
 
     def _leave(self, turn: _Turn, result: WorkResult | None) -> None:
         self._waiting.pop(turn.work.id, None)
+        if turn.queued:
+            self._admission.cancel(turn.work, self._clock())
         if turn.state is not _State.STARTED:
             turn.state = _State.GONE
             return
@@ -355,7 +368,7 @@
             now = self._clock()
             request = self._admission.take_next(now)
             if request is None:
-                return
+                break
             turn = self._waiting.get(request.id)
             if turn is not None:
                 turn.queued = False
@@ -364,7 +377,12 @@
                 self._admission.finish(request, now, Outcome.NOT_RUN)
                 continue
             self._start(turn)
-
-
-def _lets_run(decision: Any) -> bool:
-    return type(decision).__name__ == "Run"
+        for request, refusal in self._admission.take_refused(self._clock()):
+            turn = self._waiting.get(request.id)
+            if turn is None:
+                continue
+            turn.queued = False
+            if turn.state is _State.WAITING:
+                turn.result = refuse(refusal.reason.value, refusal.retry_after)
+                turn.state = _State.GONE
+                turn.go.set()
--- a/tests/fifo.py
+++ b/tests/fifo.py
@@ -1,23 +1,8 @@
 """Minimal admission: one queue, first in, first out."""
 
 from collections import deque
-from dataclasses import dataclass
 
-
-@dataclass(frozen=True)
-class Run:
-    pass
-
-
-@dataclass(frozen=True)
-class Queue:
-    pass
-
-
-@dataclass(frozen=True)
-class Refuse:
-    reason: str
-    retry_after: float
+from jujuberun.request import Queue, Reason, Refuse, Run
 
 
 class Fifo:
@@ -31,14 +16,14 @@
 
     def admit(self, request, now):
         if request.deadline <= now:
-            return Refuse("deadline", 0.0)
+            return Refuse(Reason.EXPIRED, 0.0)
         if self.busy < self.slots:
             self.busy += 1
             return Run()
         if len(self.queue) >= self.room:
-            return Refuse("overloaded", 0.25)
+            return Refuse(Reason.OVERLOADED, 0.25)
         self.queue.append(request)
-        return Queue()
+        return Queue(0.0)
 
     def finish(self, request, now, outcome):
         self.busy -= 1
@@ -49,3 +34,12 @@
             return None
         self.busy += 1
         return self.queue.popleft()
+
+    def cancel(self, request, now):
+        if request not in self.queue:
+            return False
+        self.queue.remove(request)
+        return True
+
+    def take_refused(self, now):
+        return []
