--- a/jujuberun/api.py
+++ b/jujuberun/api.py
@@ -4,11 +4,12 @@
 import json
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import httpx
 from result import Err, Ok, Result
 
+from jujuberun.caller import Caller, CallResult
 from jujuberun.errors import (
     JujuberunError,
     ManifestError,
@@ -23,6 +24,7 @@
     parse_manifest,
 )
 from jujuberun.measure import MEASUREMENTS, Options, Report
+from jujuberun.quic import make_client_tls
 from jujuberun.reference import REFERENCES
 from jujuberun.settings import Settings, load_settings
 from jujuberun.texts import (
@@ -33,9 +35,6 @@
     write_state,
 )
 
-if TYPE_CHECKING:
-    from jujuberun.caller import CallResult
-
 __all__ = [
     "JujuberunError",
     "Options",
@@ -174,10 +173,6 @@
         """Returns False."""
         return False
 
-    def choose_delay(self, attempt: int, rng: Any) -> float:
-        """Returns no delay."""
-        return 0.0
-
 
 async def call(
     address: Address,
@@ -189,7 +184,7 @@
     timeout: float,
     server_name: str,
     authorities: bytes | None,
-) -> "CallResult":
+) -> CallResult:
     """Sends one request to a service.
 
     Args:
@@ -205,19 +200,9 @@
 
     Returns:
         The outcome: answered, not run or unknown.
-
-    Raises:
-        JujuberunError: the caller library is missing.
     """
-    try:
-        caller = importlib.import_module("jujuberun.caller")
-        quic = importlib.import_module("jujuberun.quic")
-    except ImportError as error:
-        raise JujuberunError(
-            "call", "", f"cannot be loaded: {error}"
-        ) from error
-    tls = quic.make_client_tls(server_name, authorities)
-    async with caller.Caller(tls, _SingleAttempt()) as library:
+    tls = make_client_tls(server_name, authorities)
+    async with Caller(tls, _SingleAttempt()) as library:
         return await library.request(
             address, method, path, body, idempotent=idempotent, timeout=timeout
         )
--- a/jujuberun/assembly.py
+++ b/jujuberun/assembly.py
@@ -72,8 +72,8 @@
     peers.register(Status, spread.handle_status)
     for part in (generations, members, peers, link, spread):
         kernel.register(part)
-    kernel.register(Metrics(kernel, anyio.current_time))
-    kernel.register(Dump(kernel, settings.admin, anyio.current_time))
+    kernel.register(Metrics(kernel))
+    kernel.register(Dump(kernel, settings.admin))
     return kernel
 
 
--- a/jujuberun/caller.py
+++ b/jujuberun/caller.py
@@ -22,6 +22,7 @@
     Headers,
     select_headers,
 )
+from jujuberun.retry import choose_delay
 from jujuberun.work import WorkResult, lose, refuse
 
 DEFAULT_TIMEOUT_S = 30.0
@@ -48,9 +49,6 @@
     def allow_retry(self, now: float) -> bool:
         """Returns whether a retry may be sent, and records it."""
 
-    def choose_delay(self, attempt: int, rng: random.Random) -> float:
-        """Returns the seconds to wait before a retry."""
-
 
 @dataclass(frozen=True, slots=True)
 class CallResult:
@@ -198,8 +196,7 @@
                 break
             if result.outcome is Outcome.NOT_RUN:
                 number += 1
-            delay = self._budget.choose_delay(attempt, self._rng)
-            delay = max(delay, result.retry_after)
+            delay = choose_delay(attempt, self._rng, result.retry_after)
             now = self._clock()
             if now + delay >= deadline or not self._budget.allow_retry(now):
                 break
--- a/jujuberun/daemon.py
+++ b/jujuberun/daemon.py
@@ -50,7 +50,7 @@
             first = True
             async for _ in signals:
                 if not first:
-                    status = _note_forced_stop(kernel, settings)
+                    status = _note_forced_stop(kernel)
                     break
                 first = False
                 logger.info("Graceful stop begins.")
@@ -95,6 +95,10 @@
     kernel: Kernel, settings: Settings, scope: anyio.CancelScope
 ) -> None:
     kernel.find("dump").draining = True
+    if not kernel.has(settings.role.value):
+        # It still waits for a manifest and serves nobody.
+        scope.cancel()
+        return
     match settings.role:
         case Role.BALANCER:
             quiet = settings.balancer.drain_timeout
@@ -111,9 +115,9 @@
     scope.cancel()
 
 
-def _note_forced_stop(kernel: Kernel, settings: Settings) -> int:
+def _note_forced_stop(kernel: Kernel) -> int:
     cut = 0
-    if settings.role is Role.AGENT:
+    if kernel.has("agent"):
         cut = kernel.find("agent").count_flows()
     logger.warning("Second signal; %d flows are cut.", cut)
     return EXIT_FORCED
--- a/jujuberun/events.py
+++ b/jujuberun/events.py
@@ -54,6 +54,12 @@
         "A reset was sent to a caller.",
         "Compare with the resets of the agents, which have the reason.",
     ),
+    Event(
+        "balancer",
+        "starts_refused",
+        "A packet that would start a flow was above the agents' start rate.",
+        "Expected in a flood; otherwise add targets to the service.",
+    ),
     Event(
         "agent",
         "conflicts",
--- a/jujuberun/kernel.py
+++ b/jujuberun/kernel.py
@@ -57,6 +57,10 @@
             raise JujuberunError("find part", name, "is not registered")
         return part
 
+    def has(self, name: str) -> bool:
+        """Returns whether a part has this name."""
+        return name in self._parts
+
     def list_parts(self) -> tuple[Part, ...]:
         """Returns all parts in the order of their registration."""
         return tuple(self._parts.values())
--- a/jujuberun/spread.py
+++ b/jujuberun/spread.py
@@ -94,7 +94,9 @@
         self._watches: list[Watch] = []
         if source is not None:
             self._watches = [
-                Watch(kind, source, store, members, self._rng, bool(seeds))
+                Watch(
+                    kind, source, store, members, self._rng, bool(self._seeds)
+                )
                 for kind, store in self._stores.items()
             ]
         self._last_tick: float | None = None
--- a/jujuberun/streams.py
+++ b/jujuberun/streams.py
@@ -78,6 +78,9 @@
     """Terminates the QUIC connection of one flow.
 
     The task of run() drives the connection; each request has its own task.
+
+    Attributes:
+        service: the service that the flow belongs to for life.
     """
 
     def __init__(
@@ -88,7 +91,7 @@
         tls: QuicConfiguration,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._service = service
+        self.service = service
         self._send = send
         self._runner = runner
         self._tls = tls
@@ -149,8 +152,8 @@
     def describe(self, now: float) -> dict[str, Any]:
         """Returns the flow's state as JSON types."""
         return {
-            "service": self._service.id,
-            "protocol": self._service.protocol.value,
+            "service": self.service.id,
+            "protocol": self.service.protocol.value,
             "established": self._http is not None,
             "draining": self._draining,
             "open_requests": self.open_requests,
@@ -304,7 +307,7 @@
         if request.refused:
             return refuse(request.refused)
         work = make_work(
-            self._service, request.headers, bytes(request.body), request.arrived
+            self.service, request.headers, bytes(request.body), request.arrived
         )
         if isinstance(work, WorkResult):
             return work
