--- a/jujuberun/cli.py
+++ b/jujuberun/cli.py
@@ -139,7 +139,7 @@
     result = anyio.run(send)
     line = f"outcome {result.outcome.value}, status {result.status}"
     if result.outcome is not api.Outcome.ANSWERED:
-        line += f", retry after {result.retry_after:g} s"
+        line += f", {result.reason}, retry after {result.retry_after:g} s"
     print(f"jujuberun: {line}", file=sys.stderr)
     sys.stdout.flush()
     sys.stdout.buffer.write(result.body)
--- a/jujuberun/texts.py
+++ b/jujuberun/texts.py
@@ -177,7 +177,7 @@
             return "none"
         case bool():
             return "yes" if value else "no"
-        case Mapping() | list():
+        case Mapping() | list() | "":
             return "none"
         case _:
             return str(value)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -53,6 +53,7 @@
             outcome=outcome,
             status=200 if answered else 0,
             body=text if answered else b"",
+            reason="overloaded",
             retry_after=1.5,
         )
 
@@ -249,7 +250,7 @@
         self.assertEqual((0, "PUT x True meals"), (status, output))
         self.assertIn("outcome answered, status 200", errors)
         line = self.assert_fails(1, "call", "127.0.0.1:1", "GET", "/bad")
-        self.assertIn("outcome not-run, status 0, retry after 1.5 s", line)
+        self.assertIn("outcome not-run, status 0, overloaded, retry after 1.5 s", line)
         self.replace_module("jujuberun.caller", None)
         line = self.assert_fails(1, "call", "127.0.0.1:1", "GET", "/good")
         self.assertIn("cannot be loaded", line)
