--- a/jujuberun/measure.py
+++ b/jujuberun/measure.py
@@ -93,4 +93,5 @@
     "control-cost": "jujuberun.measure_control:measure",
     "memory": "jujuberun.measure_memory:measure",
     "requests": "jujuberun.measure_requests:measure",
+    "shares": "jujuberun.measure_shares:measure",
 }
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -250,7 +250,9 @@
         self.assertEqual((0, "PUT x True meals"), (status, output))
         self.assertIn("outcome answered, status 200", errors)
         line = self.assert_fails(1, "call", "127.0.0.1:1", "GET", "/bad")
-        self.assertIn("outcome not-run, status 0, overloaded, retry after 1.5 s", line)
+        self.assertIn(
+            "outcome not-run, status 0, overloaded, retry after 1.5 s", line
+        )
         self.replace_module("jujuberun.caller", None)
         line = self.assert_fails(1, "call", "127.0.0.1:1", "GET", "/good")
         self.assertIn("cannot be loaded", line)
