--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -53,6 +53,7 @@
             outcome=outcome,
             status=200 if answered else 0,
             body=text if answered else b"",
+            reason="overloaded",
             retry_after=1.5,
         )
 
@@ -196,6 +197,12 @@
                 }
             },
         }
+        beliefs = FakeBalancer()
+        beliefs.name = "beliefs"
+        beliefs.dump_state = lambda now: {
+            "label": {"targets": 2, "active": 1, "suspected": ["t2"]}
+        }
+        kernel.register(beliefs)
         dump = Dump(kernel, ("127.0.0.1", 0), clock=lambda: 14.5)
         for part in (generations, peers, FakeBalancer(), dump):
             kernel.register(part)
@@ -219,6 +226,7 @@
             "10.0.0.2:1 gone: packets unanswered for 6.0 s, last heard 6.5 s",
             shown[1],
         )
+        self.assertIn("of label: 1 active of 2; suspected: t2", shown[1])
         self.assertEqual(3, json.loads(raw[1])["generations"]["generation"])
         self.assertIn("service: label", why[1])
         self.assertEqual(1, unknown[0])
@@ -242,7 +250,9 @@
         self.assertEqual((0, "PUT x True meals"), (status, output))
         self.assertIn("outcome answered, status 200", errors)
         line = self.assert_fails(1, "call", "127.0.0.1:1", "GET", "/bad")
-        self.assertIn("outcome not-run, status 0, retry after 1.5 s", line)
+        self.assertIn(
+            "outcome not-run, status 0, overloaded, retry after 1.5 s", line
+        )
         self.replace_module("jujuberun.caller", None)
         line = self.assert_fails(1, "call", "127.0.0.1:1", "GET", "/good")
         self.assertIn("cannot be loaded", line)
