--- a/tests/test_offload.py
+++ b/tests/test_offload.py
@@ -112,6 +112,7 @@
         self.agents = [Agent(self, n) for n in range(AGENTS)]
         self.plain = set()
         self.faults = []
+        self.replies = {}
 
     def make_link(self, number):
         world = self
@@ -177,6 +178,7 @@
 
         async def serve():
             result = await agent.offload.handle_run(message, self.loop.time())
+            self.replies.setdefault(message.token, set()).add(result.outcome)
             if reply is not None and not reply.done():
                 reply.set_result(result)
 
@@ -205,6 +207,8 @@
         for name, outcomes in self.told.items():
             if Outcome.NOT_RUN in outcomes:
                 assert not self.begun[name], f"{name} ran after not-run"
+        for outcomes in self.replies.values():
+            assert not outcomes >= {"answered", "not-run"}, "ran and not-run"
         for agent in self.agents:
             assert len(agent.target.jobs) <= SLOTS, "more work than slots"
 
@@ -432,3 +436,20 @@
         self.world.agents[0].target.jobs[0].set()
         self.world.settle()
         self.assertEqual(1, self.world.begun["second"])
+
+    def test_copy_of_a_run_after_a_restart_is_unknown(self):
+        # Guards R4 and R5: an agent that forgot that it ran the request.
+        for cancelled in (False, True):
+            world = self.world = World()
+            self.addCleanup(world.close)
+            self.queue_one()
+            self.carry_packets()
+            ((receiver, message, reply),) = world.runs
+            world.deliver_run(receiver, message)
+            world.restart(receiver)
+            if cancelled:
+                world.packets.append((0, receiver, Cancel(message.token)))
+                self.carry_packets()
+            world.deliver_run(receiver, message)
+            self.assertEqual({"unknown"}, world.replies[message.token])
+            self.assertEqual(1, world.begun["second"])
