--- a/jujuberun/backend.py
+++ b/jujuberun/backend.py
@@ -14,6 +14,7 @@
 
 CONNECT_TIMEOUT_S = 1.0  # the target is on loopback
 KEEPALIVE_S = 5.0  # idle connections older than this are not used again
+SHED_STATUSES = (429, 503)  # by which a target says that it is full
 MAX_ANSWER_BYTES = 8 << 20
 RETRY_AFTER_UNREACHABLE_S = 1.0
 
@@ -149,6 +150,6 @@
 
 
 def _classify(status: int) -> EvidenceKind:
-    if status in (429, 503):
+    if status in SHED_STATUSES:
         return EvidenceKind.REFUSAL
     return EvidenceKind.ERROR if status >= 500 else EvidenceKind.ANSWER
--- a/jujuberun/caller.py
+++ b/jujuberun/caller.py
@@ -48,9 +48,6 @@
     def allow_retry(self, now: float) -> bool:
         """Returns whether a retry may be sent, and records it."""
 
-    def choose_delay(self, attempt: int, rng: random.Random) -> float:
-        """Returns the seconds to wait before a retry."""
-
 
 @dataclass(frozen=True, slots=True)
 class CallResult:
@@ -120,6 +117,7 @@
         self,
         tls: QuicConfiguration,
         budget: RetryBudget,
+        choose_delay: Callable[[int, random.Random, float], float],
         open_port: Callable[[Address], Port] = open_socket_port,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
@@ -129,12 +127,15 @@
         Args:
             tls: what quic.make_client_tls returned.
             budget: limits retries over all calls.
+            choose_delay: returns the seconds before a retry, by the number of
+                the failed attempt, rng and retry-after; see module retry.
             open_port: opens a port for a new connection to an address.
             rng: draws request ids and delays.
             clock: seconds, monotonic.
         """
         self._tls = tls
         self._budget = budget
+        self._choose_delay = choose_delay
         self._open_port = open_port
         self._rng = rng or random.SystemRandom()
         self._clock = clock
@@ -198,8 +199,7 @@
                 break
             if result.outcome is Outcome.NOT_RUN:
                 number += 1
-            delay = self._budget.choose_delay(attempt, self._rng)
-            delay = max(delay, result.retry_after)
+            delay = self._choose_delay(attempt, self._rng, result.retry_after)
             now = self._clock()
             if now + delay >= deadline or not self._budget.allow_retry(now):
                 break
--- a/jujuberun/measure_requests.py
+++ b/jujuberun/measure_requests.py
@@ -145,9 +145,6 @@
     def allow_retry(self, now: float) -> bool:
         return False
 
-    def choose_delay(self, attempt: int, rng: Any) -> float:
-        return 0.0
-
 
 def measure(options: Options) -> Report:
     """Measures CPU time per handshake, request and refusal, in one run.
@@ -275,7 +272,12 @@
 
     async with anyio.create_task_group() as group:
         group.start_soon(flow.run)
-        async with Caller(client_tls, _NoRetries(), open_port) as caller:
+        async with Caller(
+            client_tls,
+            _NoRetries(),
+            lambda attempt, rng, retry_after: retry_after,
+            open_port,
+        ) as caller:
             await caller.request(_ADDRESS, "POST", "/print", _BODY)
 
             async def call() -> None:
--- a/jujuberun/offload.py
+++ b/jujuberun/offload.py
@@ -223,6 +223,8 @@
             replied = True
         except LinkError as error:
             _log.warning("offload: request %s: %s", work.id, error)
+            if not getattr(error, "sent", True):
+                return refuse("peer-unreachable")
             return lose("peer-lost")
         finally:
             if not replied:
--- a/jujuberun/runner.py
+++ b/jujuberun/runner.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from jujuberun.backend import Backend, Evidence
+from jujuberun.backend import SHED_STATUSES, Backend, Evidence
 from jujuberun.ids import Outcome
 from jujuberun.manifest import Target
 from jujuberun.register import First, Register, Second, Settled
@@ -28,12 +28,20 @@
     def admit(self, request: Any, now: float) -> Any:
         """Returns Run, Queue or Refuse(reason, retry_after) for a request."""
 
-    def finish(self, request: Any, now: float, outcome: Outcome) -> None:
+    def finish(
+        self, request: Any, now: float, outcome: Outcome, shed: bool = False
+    ) -> None:
         """Frees the slot of a request that admit or take_next let run."""
 
+    def cancel(self, request: Any, now: float) -> bool:
+        """Removes a queued request; False when it is not in the queue."""
+
     def take_next(self, now: float) -> Any | None:
         """Returns a queued request that now has a slot, or None."""
 
+    def take_refused(self, now: float) -> list[tuple[Any, Any]]:
+        """Returns requests refused while they were queued, with Refuse."""
+
 
 class Reservation(Protocol):
     """A slot at a peer, held for a short time."""
@@ -56,7 +64,7 @@
     WAITING = "waiting"  # in the queue of admission
     STARTED = "started"  # has a slot
     HANDED = "handed"  # given to a peer
-    GONE = "gone"  # cancelled or expired while it waited
+    GONE = "gone"  # cancelled, expired or refused while it waited
 
 
 class _Turn:
@@ -66,19 +74,17 @@
         work: the request.
         state: where it is.
         go: set when the state leaves WAITING or there is a result.
-        queued: whether admission still has it in its queue.
-        result: the result from a peer.
+        result: the result when it does not run here.
         begun: whether a target may have received it.
         lost: whether a peer may have run it without a reply.
     """
 
-    __slots__ = ("begun", "go", "lost", "queued", "result", "state", "work")
+    __slots__ = ("begun", "go", "lost", "result", "state", "work")
 
     def __init__(self, work: Work) -> None:
         self.work = work
         self.state = _State.WAITING
         self.go = anyio.Event()
-        self.queued = False
         self.result: WorkResult | None = None
         self.begun = False
         self.lost = False
@@ -188,14 +194,17 @@
         """
         if self.draining or self._waiting or self.running >= self.slots:
             return False
-        if not _lets_run(self._admission.admit(placeholder, now)):
-            return False
-        self.running += 1
-        return True
+        decision = self._admission.admit(placeholder, now)
+        if _lets_run(decision):
+            self.running += 1
+            return True
+        if not _is_refusal(decision):
+            self._admission.cancel(placeholder, now)
+        return False
 
     def release(self, placeholder: Work, now: float) -> None:
         """Frees a slot that hold gave."""
-        self._free(placeholder, now, Outcome.NOT_RUN)
+        self._free(placeholder, now, refuse("released"))
 
     async def execute_held(
         self, work: Work, placeholder: Work, now: float
@@ -207,8 +216,7 @@
             result = await self._claim(turn, now, lambda: self._call(turn))
             return result
         finally:
-            outcome = result.outcome if result else Outcome.UNKNOWN
-            self._free(placeholder, self._clock(), outcome)
+            self._free(placeholder, self._clock(), result)
 
     async def _claim(
         self, turn: _Turn, now: float, act: Callable[[], Any]
@@ -240,13 +248,11 @@
     async def _take_turn(self, turn: _Turn, now: float) -> WorkResult:
         work = turn.work
         decision = self._admission.admit(work, now)
-        if hasattr(decision, "retry_after"):
-            return refuse(decision.reason, decision.retry_after)
+        if _is_refusal(decision):
+            return _convert(decision)
         if _lets_run(decision):
-            turn.state = _State.STARTED
-            self.running += 1
+            self._start(turn)
         else:
-            turn.queued = True
             self._waiting[work.id] = turn
         result = None
         try:
@@ -290,10 +296,12 @@
             if reservation is None:
                 await anyio.sleep(OFFER_PAUSE_S)
                 continue
+            self._pump()
             if turn.state is not _State.WAITING:
                 self._offload.release(reservation)
                 return
             offers += 1
+            self._admission.cancel(turn.work, self._clock())
             turn.state = _State.HANDED
             turn.begun = True
             result = await self._offload.hand_on(reservation, turn.work)
@@ -313,15 +321,12 @@
                 turn.lost = True
                 if not work.idempotent:
                     return False
+        decision = self._admission.admit(work, self._clock())
+        if _is_refusal(decision):
+            return False
         turn.state = _State.WAITING
-        if not turn.queued:
-            decision = self._admission.admit(work, self._clock())
-            if hasattr(decision, "retry_after"):
-                return False
-            turn.queued = True
-            if _lets_run(decision):
-                turn.queued = False
-                self._start(turn)
+        if _lets_run(decision):
+            self._start(turn)
         return True
 
     async def _call(self, turn: _Turn) -> WorkResult:
@@ -332,16 +337,23 @@
         return await self._backend.call(turn.work, remaining)
 
     def _leave(self, turn: _Turn, result: WorkResult | None) -> None:
-        self._waiting.pop(turn.work.id, None)
-        if turn.state is not _State.STARTED:
-            turn.state = _State.GONE
+        work, state, now = turn.work, turn.state, self._clock()
+        self._waiting.pop(work.id, None)
+        turn.state = _State.GONE
+        if state is _State.STARTED:
+            self._free(work, now, result)
             return
-        outcome = result.outcome if result else Outcome.UNKNOWN
-        self._free(turn.work, self._clock(), outcome)
+        # Also when the deadline has passed: admission may not know yet.
+        if self._admission.cancel(work, now):
+            self._pump()
 
-    def _free(self, holder: Work, now: float, outcome: Outcome) -> None:
+    def _free(
+        self, holder: Work, now: float, result: WorkResult | None
+    ) -> None:
+        result = result or lose("cancelled")
+        shed = result.status in SHED_STATUSES
         self.running -= 1
-        self._admission.finish(holder, now, outcome)
+        self._admission.finish(holder, now, result.outcome, shed)
         self._pump()
 
     def _start(self, turn: _Turn) -> None:
@@ -350,21 +362,31 @@
         turn.go.set()
 
     def _pump(self) -> None:
-        """Starts queued requests while admission has slots for them."""
-        while True:
-            now = self._clock()
-            request = self._admission.take_next(now)
-            if request is None:
-                return
+        """Starts and refuses queued requests as admission decides."""
+        now = self._clock()
+        while (request := self._admission.take_next(now)) is not None:
             turn = self._waiting.get(request.id)
-            if turn is not None:
-                turn.queued = False
             if turn is None or turn.state is not _State.WAITING:
-                # It was cancelled, expired or handed on: the slot is free.
                 self._admission.finish(request, now, Outcome.NOT_RUN)
                 continue
             self._start(turn)
+        for request, refusal in self._admission.take_refused(now):
+            turn = self._waiting.get(request.id)
+            if turn is None or turn.state is not _State.WAITING:
+                continue
+            turn.state = _State.GONE
+            turn.result = _convert(refusal)
+            turn.go.set()
 
 
 def _lets_run(decision: Any) -> bool:
     return type(decision).__name__ == "Run"
+
+
+def _is_refusal(decision: Any) -> bool:
+    return type(decision).__name__ == "Refuse"
+
+
+def _convert(refusal: Any) -> WorkResult:
+    reason = getattr(refusal.reason, "value", refusal.reason)
+    return refuse(reason, refusal.retry_after)
--- a/tests/fifo.py
+++ b/tests/fifo.py
@@ -40,7 +40,19 @@
         self.queue.append(request)
         return Queue()
 
-    def finish(self, request, now, outcome):
+    def cancel(self, request, now):
+        if request not in self.queue:
+            return False
+        self.queue.remove(request)
+        return True
+
+    def take_refused(self, now):
+        expired = [r for r in self.queue if r.deadline <= now]
+        for request in expired:
+            self.queue.remove(request)
+        return [(r, Refuse("deadline", 0.0)) for r in expired]
+
+    def finish(self, request, now, outcome, shed=False):
         self.busy -= 1
         assert self.busy >= 0, "a slot was freed twice"
 
--- a/tests/requestpath.py
+++ b/tests/requestpath.py
@@ -54,9 +54,6 @@
         self.left -= 1
         return self.left >= 0
 
-    def choose_delay(self, attempt, rng):
-        return 0.01
-
 
 class Echo:
     """An executor that answers with the body after some work."""
@@ -190,6 +187,7 @@
         return Caller(
             make_client_tls(CERTIFICATE.name, CERTIFICATE.certificate),
             PlainBudget(retries),
+            lambda attempt, rng, retry_after: max(0.01, retry_after),
             self.open_port,
             random.Random(7),
             anyio.current_time,
