Answer the start of another connection on an open flow with a reset

A caller that reuses the port of an open flow heard nothing until the idle timeout of the old connection. Replacing the connection instead would let one forged packet end it.

--- a/jujuberun/streams.py
+++ b/jujuberun/streams.py
@@ -16,7 +16,7 @@
 from aioquic.quic.packet import QuicPacketType, pull_quic_header
 from anyio.abc import TaskGroup
 
-from jujuberun.manifest import Service
+from jujuberun.manifest import FirstPacket, FirstPacketRule, Service
 from jujuberun.quic import (
     H3_NO_ERROR,
     H3_REQUEST_CANCELLED,
@@ -26,6 +26,7 @@
     Headers,
     encode_goaway,
 )
+from jujuberun.wire import make_reset
 from jujuberun.work import (
     Work,
     WorkResult,
@@ -41,6 +42,8 @@
 MAX_INBOX_PACKETS = 512  # QUIC resends what is dropped beyond
 MAX_BODY_BYTES = 4 << 20  # of one request
 MAX_BODIES_BYTES = 8 << 20  # of all unfinished requests of a flow
+_ID_BYTES = 8
+_START = FirstPacket(FirstPacketRule.QUIC)
 _log = logging.getLogger(__name__)
 
 
@@ -98,6 +101,7 @@
         )
         self._wake = anyio.Event()
         self._quic: QuicConnection | None = None
+        self._start_ids: tuple[bytes, bytes] = (b"", b"")
         self._http: H3Connection | None = None
         self._requests: dict[int, _Request] = {}
         self._next_stream = 0
@@ -195,6 +199,10 @@
             payload, now = self._inbox.popleft()
             if self._quic is None and not self._accept(payload):
                 continue
+            if self._is_other_start(payload):
+                # Replacing the connection would let a forged packet end it.
+                self._send(make_reset("flow-in-use", 0, payload))
+                continue
             self._active = max(self._active, now)
             self._quic.receive_datagram(payload, PATH, now)
         now = self._clock()
@@ -222,8 +230,20 @@
             configuration=self._tls,
             original_destination_connection_id=header.destination_cid,
         )
+        # A caller's Initial packets name one of these ids; 8 bytes tell
+        # connections apart, and RFC 9000 requires at least as many.
+        self._start_ids = (
+            header.destination_cid[:_ID_BYTES],
+            self._quic.host_cid[:_ID_BYTES],
+        )
         return True
 
+    def _is_other_start(self, payload: bytes) -> bool:
+        """Returns whether a packet would begin another connection."""
+        if len(payload) < 14 or not _START.accepts(payload):
+            return False
+        return payload[6 : 6 + _ID_BYTES] not in self._start_ids
+
     def _handle_events(self, group: TaskGroup) -> None:
         if self._quic is None:
             return
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -1,12 +1,21 @@
+import time
+
 import anyio
-from requestpath import ADDRESS, Echo
-from test_streams import run_with_path
+from fifo import Fifo
+from requestpath import ADDRESS, CERTIFICATE, Echo, PlainBudget, make_service
+from test_streams import TLS, run_with_path
 from testtools import TestCase
 from testtools.matchers import LessThan
 
-from jujuberun.caller import NotRunError, OutcomeUnknownError
+from jujuberun.backend import Backend
+from jujuberun.caller import Caller, NotRunError, OutcomeUnknownError
 from jujuberun.connection import DEAD_S, PROBE_S, Silence, SilenceWatch
 from jujuberun.ids import Outcome
+from jujuberun.port import SocketPort
+from jujuberun.quic import make_client_tls
+from jujuberun.runner import Runner
+from jujuberun.standin_target import Behaviour, TargetStandin
+from jujuberun.streams import RequestFlow
 from jujuberun.wire import make_reset
 from jujuberun.work import WorkResult, refuse
 
@@ -180,3 +189,55 @@
         watch.hear(6.0)
         self.assertEqual(Silence.WAIT, watch.decide(15.9, busy=False))
         self.assertEqual(Silence.PROBE, watch.decide(16.0, busy=False))
+
+
+class SocketTest(TestCase):
+    def test_requests_pass_from_caller_to_target(self):
+        # Guards the joints: sockets, flow, runner, backend and target.
+        target = TargetStandin(Behaviour(slots=2, work=0.005))
+        flows = {}
+
+        async def serve(port, runner, group):
+            while True:
+                for data, sender in await port.receive():
+                    flow = flows.get(sender)
+                    if flow is None:
+                        flow = flows[sender] = RequestFlow.from_config(
+                            make_service(),
+                            lambda data, sender=sender: port.send(data, sender),
+                            runner,
+                            TLS,
+                        )
+                        group.start_soon(flow.run)
+                    flow.deliver(data, time.monotonic())
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                await group.start(target.run)
+                port = SocketPort.bind(("127.0.0.1", 0))
+                backend = Backend(target.address)
+                runner = Runner(2, Fifo(2, 100), backend)
+                await group.start(runner.run)
+                group.start_soon(serve, port, runner, group)
+                tls = make_client_tls(CERTIFICATE.name, CERTIFICATE.certificate)
+                delay = lambda attempt, rng, retry_after: retry_after  # noqa: E731
+                async with Caller(tls, PlainBudget(), delay) as caller:
+
+                    async def call(number):
+                        result = await caller.request(
+                            port.address, "POST", "/", b"%d" % number
+                        )
+                        answers[number] = result.check().body
+
+                    with anyio.fail_after(20):
+                        async with anyio.create_task_group() as calls:
+                            for number in range(50):
+                                calls.start_soon(call, number)
+                group.cancel_scope.cancel()
+
+        answers = {}
+        anyio.run(main)
+        self.assertEqual({n: b"%d" % n for n in range(50)}, answers)
+        self.assertEqual([], target.counts.list_doubles())
+        self.assertEqual(50, target.counts.finished)
+        self.assertEqual(1, len(flows))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -204,3 +204,24 @@
             self.assertEqual(1, len(path.flows))
 
         run_with_path(act)
+
+    def test_other_connection_of_a_flow_is_refused(self):
+        # Guards against silence when a caller's port is used again, and
+        # against a forged start packet that ends an open connection.
+        async def act(path, caller, executor):
+            await caller.request(ADDRESS, "GET", "/a")
+            ((_, flow),) = path.flows.items()
+            port = path.open_port(ADDRESS)
+            path.flows[port] = flow
+            send, flow._send = flow._send, lambda d: path.carry(port.take, d)
+            async with path.make_caller() as other:
+                other._open_port = lambda address: port
+                result = await other.request(ADDRESS, "GET", "/b")
+                self.assertEqual(Outcome.NOT_RUN, result.outcome)
+                self.assertEqual("reset-flow-in-use", result.reason)
+            flow._send = send
+            await caller.request(ADDRESS, "GET", "/c")
+            self.assertEqual(2, len(executor.ran))
+            self.assertEqual(2, len(path.ports))
+
+        run_with_path(act)
