Keep malformed header fields and endless callers from harming a flow

A field that HTTP/3 forbids made the other side close the connection with all its requests; it now ends only its own. A drain ends 3 s after the last accepted request, also when a caller ignores GOAWAY.

--- a/jujuberun/caller.py
+++ b/jujuberun/caller.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 import anyio
+from aioquic.h3.connection import ProtocolError, validate_request_headers
 from aioquic.quic.configuration import QuicConfiguration
 from anyio.abc import TaskGroup
 
@@ -181,11 +182,20 @@
 
         Returns:
             The outcome.
+
+        Raises:
+            ValueError: method, path or a header field is malformed; nothing
+                was sent.
         """
         now = self._clock()
         deadline = now + timeout
         message = _Message(address, method, path, body, headers, idempotent)
         name = f"{self._rng.getrandbits(128):032x}"
+        try:
+            validate_request_headers(encode_request(message, name, timeout))
+        except ProtocolError as error:
+            # The agent would close the connection with all its requests.
+            raise ValueError(error.reason_phrase) from error
         self._budget.record_request(now)
         number = 1
         unsure = False
--- a/jujuberun/streams.py
+++ b/jujuberun/streams.py
@@ -8,7 +8,11 @@
 
 import anyio
 from aioquic.buffer import Buffer
-from aioquic.h3.connection import H3Connection
+from aioquic.h3.connection import (
+    H3Connection,
+    ProtocolError,
+    validate_response_headers,
+)
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic import events
 from aioquic.quic.configuration import QuicConfiguration
@@ -110,7 +114,8 @@
         self._draining = False
         self._goaway_sent = False
         self._ended = False
-        self._active = clock()
+        self._active = clock()  # last datagram or end of a request
+        self._served = clock()  # last end of a request that was accepted
 
     @classmethod
     def from_config(
@@ -147,6 +152,8 @@
 
     def drain(self) -> None:
         """Refuses new requests; run() returns once the open ones are done."""
+        if not self._draining:
+            self._served = max(self._served, self._clock())
         self._draining = True
         self._wake.set()
 
@@ -189,7 +196,7 @@
         if self._http is None:
             timer = min(timer, self._active + HANDSHAKE_TIMEOUT_S)
         if self._draining and not self._requests:
-            timer = min(timer, self._active + LINGER_S)
+            timer = min(timer, self._served + LINGER_S)
         return timer
 
     def _receive(self) -> None:
@@ -312,6 +319,8 @@
             self._body_bytes -= len(request.body)
             del self._requests[stream]
             self._active = max(self._active, self._clock())
+            if not request.refused:
+                self._served = self._active
             self._wake.set()
         if result is not None and not request.scope.cancel_called:
             self._respond(stream, result)
@@ -340,6 +349,12 @@
             return
         body = result.body
         headers = encode_result(result)
+        try:
+            validate_response_headers(headers)
+        except ProtocolError:
+            # The caller would close the connection with all its requests.
+            body = b""
+            headers = encode_result(lose("malformed-answer"))
         self._http.send_headers(stream, headers, end_stream=not body)
         if body:
             self._http.send_data(stream, body, end_stream=True)
@@ -351,9 +366,9 @@
             self._goaway_sent = True
             frame = encode_goaway(self._next_stream)
             self._quic.send_stream_data(SERVER_CONTROL_STREAM, frame)
-        if self._requests or self._clock() < self._active + LINGER_S:
+        if self._clock() < self._served + LINGER_S:
             return
-        self._ended = True
+        self._ended = all(r.refused for r in self._requests.values())
 
     def _transmit(self) -> None:
         if self._quic is None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,12 +10,13 @@
     make_service,
     run_virtual,
 )
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 from testtools.matchers import GreaterThan, LessThan
 
 from jujuberun.ids import Outcome
 from jujuberun.quic import load_server_tls
 from jujuberun.streams import RequestFlow
+from jujuberun.work import WorkResult
 
 with tempfile.TemporaryDirectory() as _name:
     TLS = load_server_tls(*CERTIFICATE.write(FilePath(_name)))
@@ -225,3 +226,41 @@
             self.assertEqual(2, len(path.ports))
 
         run_with_path(act)
+
+    def test_malformed_fields_end_only_their_request(self):
+        # Guards against one header field that closes a connection with all
+        # its requests, from either side.
+        class Malformed(Echo):
+            async def execute(self, work, now):
+                await super().execute(work, now)
+                headers = ((b"x", b"line\nbreak"),)
+                return WorkResult(Outcome.ANSWERED, 200, b"a", headers)
+
+        async def act(path, caller, executor):
+            with ExpectedException(ValueError):
+                await caller.request(
+                    ADDRESS, "GET", "/a", headers=((b"Upper", b"x"),)
+                )
+            for _ in range(2):
+                result = await caller.request(ADDRESS, "GET", "/a")
+                self.assertEqual(Outcome.UNKNOWN, result.outcome)
+                self.assertEqual("malformed-answer", result.reason)
+            self.assertEqual(2, len(executor.ran))
+            self.assertEqual(1, len(path.flows))
+
+        run_with_path(act, Malformed())
+
+    def test_drain_ends_although_new_requests_keep_coming(self):
+        # Guards R7 against a caller that ignores GOAWAY.
+        async def act(path, caller, executor):
+            await caller.request(ADDRESS, "GET", "/a")
+            (flow,) = path.flows.values()
+            (connection,) = caller._connections.values()
+            connection._goaway.read = lambda data: None
+            flow.drain()
+            for _ in range(8):
+                await anyio.sleep(0.5)
+                await caller.request(ADDRESS, "GET", "/b")
+            self.assertTrue(flow._ended)
+
+        run_with_path(act)
