--- a/jujuberun/backend.py
+++ b/jujuberun/backend.py
@@ -14,6 +14,7 @@
 
 CONNECT_TIMEOUT_S = 1.0  # the target is on loopback
 KEEPALIVE_S = 5.0  # idle connections older than this are not used again
+SHED_STATUSES = (429, 503)  # by which a target says that it is full
 MAX_ANSWER_BYTES = 8 << 20
 RETRY_AFTER_UNREACHABLE_S = 1.0
 
@@ -60,8 +61,10 @@
             keepalive_expiry=KEEPALIVE_S,
         )
         timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S)
+        # Without verify=False httpx loads the system's authorities at once,
+        # which nothing here needs: the target is reached over plain HTTP.
         self._client = httpx.AsyncClient(
-            limits=limits, timeout=timeout, trust_env=False
+            limits=limits, timeout=timeout, trust_env=False, verify=False
         )
 
     async def call(self, work: Work, timeout: float) -> WorkResult:
@@ -149,6 +152,6 @@
 
 
 def _classify(status: int) -> EvidenceKind:
-    if status in (429, 503):
+    if status in SHED_STATUSES:
         return EvidenceKind.REFUSAL
     return EvidenceKind.ERROR if status >= 500 else EvidenceKind.ANSWER
--- a/jujuberun/caller.py
+++ b/jujuberun/caller.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 import anyio
+from aioquic.h3.connection import ProtocolError, validate_request_headers
 from aioquic.quic.configuration import QuicConfiguration
 from anyio.abc import TaskGroup
 
@@ -107,6 +108,11 @@
     return SocketPort.bind(ANY_PORT, PORT_BUFFER_BYTES)
 
 
+# Seconds before a retry, by the number of the failed attempt, a source of
+# jitter, and the retry-after of the refusal.
+DelayChoice = Callable[[int, random.Random, float], float]
+
+
 class Caller:
     """Keeps one connection for each service address.
 
@@ -118,6 +124,7 @@
         self,
         tls: QuicConfiguration,
         budget: RetryBudget,
+        choose_delay: DelayChoice = choose_delay,
         open_port: Callable[[Address], Port] = open_socket_port,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
@@ -127,12 +134,15 @@
         Args:
             tls: what quic.make_client_tls returned.
             budget: limits retries over all calls.
+            choose_delay: returns the seconds before a retry, by the number of
+                the failed attempt, rng and retry-after; see module retry.
             open_port: opens a port for a new connection to an address.
             rng: draws request ids and delays.
             clock: seconds, monotonic.
         """
         self._tls = tls
         self._budget = budget
+        self._choose_delay = choose_delay
         self._open_port = open_port
         self._rng = rng or random.SystemRandom()
         self._clock = clock
@@ -178,11 +188,20 @@
 
         Returns:
             The outcome.
+
+        Raises:
+            ValueError: method, path or a header field is malformed; nothing
+                was sent.
         """
         now = self._clock()
         deadline = now + timeout
         message = _Message(address, method, path, body, headers, idempotent)
         name = f"{self._rng.getrandbits(128):032x}"
+        try:
+            validate_request_headers(encode_request(message, name, timeout))
+        except ProtocolError as error:
+            # The agent would close the connection with all its requests.
+            raise ValueError(error.reason_phrase) from error
         self._budget.record_request(now)
         number = 1
         unsure = False
@@ -196,7 +215,7 @@
                 break
             if result.outcome is Outcome.NOT_RUN:
                 number += 1
-            delay = choose_delay(attempt, self._rng, result.retry_after)
+            delay = self._choose_delay(attempt, self._rng, result.retry_after)
             now = self._clock()
             if now + delay >= deadline or not self._budget.allow_retry(now):
                 break
--- a/jujuberun/runner.py
+++ b/jujuberun/runner.py
@@ -8,15 +8,17 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from jujuberun.backend import Backend, Evidence
+from jujuberun.backend import SHED_STATUSES, Backend, Evidence
 from jujuberun.ids import Outcome
 from jujuberun.manifest import Target
+from jujuberun.offload import Grant, Offload
 from jujuberun.register import First, Register, Second, Settled
 from jujuberun.request import Queue, Refuse, Run, Verdict
 from jujuberun.work import Work, WorkResult, lose, refuse
 
 PUMP_S = 0.05  # admission may let a request go on by time alone
 MAX_OFFERS = 2  # times that one request is handed to a peer
+ASKING_PER_SLOT = 2  # bounds the messages of a long queue: 80/s for a slot
 OFFER_PAUSE_S = 0.1  # after no peer had a free slot
 
 
@@ -29,41 +31,26 @@
     def admit(self, request: Any, now: float) -> Verdict:
         """Returns Run, Queue or Refuse(reason, retry_after) for a request."""
 
-    def finish(self, request: Any, now: float, outcome: Outcome) -> None:
+    def finish(
+        self, request: Any, now: float, outcome: Outcome, shed: bool = False
+    ) -> None:
         """Frees the slot of a request that admit or take_next let run."""
 
     def cancel(self, request: Any, now: float) -> bool:
-        """Removes a request that waits."""
-
-    def take_refused(self, now: float) -> list[tuple[Any, Any]]:
-        """Returns requests refused after they were queued."""
+        """Removes a queued request; False when it is not in the queue."""
 
     def take_next(self, now: float) -> Any | None:
         """Returns a queued request that now has a slot, or None."""
 
-
-class Reservation(Protocol):
-    """A slot at a peer, held for a short time."""
-
-
-class Offload(Protocol):
-    """Hands requests that have not started to peers; see module offload."""
-
-    async def reserve(self, work: Work) -> Reservation | None:
-        """Returns a slot at a peer, or None."""
-
-    async def hand_on(self, reservation: Reservation, work: Work) -> WorkResult:
-        """Hands the request on and returns what became of it."""
-
-    def release(self, reservation: Reservation) -> None:
-        """Gives the slot back."""
+    def take_refused(self, now: float) -> list[tuple[Any, Any]]:
+        """Returns requests refused while they were queued, with Refuse."""
 
 
 class _State(Enum):
     WAITING = "waiting"  # in the queue of admission
     STARTED = "started"  # has a slot
     HANDED = "handed"  # given to a peer
-    GONE = "gone"  # cancelled or expired while it waited
+    GONE = "gone"  # cancelled, expired or refused while it waited
 
 
 class _Turn:
@@ -73,19 +60,17 @@
         work: the request.
         state: where it is.
         go: set when the state leaves WAITING or there is a result.
-        queued: whether admission still has it in its queue.
-        result: the result from a peer.
+        result: the result when it does not run here.
         begun: whether a target may have received it.
         lost: whether a peer may have run it without a reply.
     """
 
-    __slots__ = ("begun", "go", "lost", "queued", "result", "state", "work")
+    __slots__ = ("begun", "go", "lost", "result", "state", "work")
 
     def __init__(self, work: Work) -> None:
         self.work = work
         self.state = _State.WAITING
         self.go = anyio.Event()
-        self.queued = False
         self.result: WorkResult | None = None
         self.begun = False
         self.lost = False
@@ -120,6 +105,7 @@
         self._register = register or Register()
         self._clock = clock
         self._waiting: dict[str, _Turn] = {}
+        self._asking = 0
         self._counts = dict.fromkeys(Outcome, 0)
 
     @classmethod
@@ -196,17 +182,16 @@
         if self.draining or self._waiting or self.running >= self.slots:
             return False
         match self._admission.admit(placeholder, now):
-            case Refuse():
-                return False
+            case Run():
+                self.running += 1
+                return True
             case Queue():
                 self._admission.cancel(placeholder, now)
-                return False
-        self.running += 1
-        return True
+        return False
 
     def release(self, placeholder: Work, now: float) -> None:
         """Frees a slot that hold gave."""
-        self._free(placeholder, now, Outcome.NOT_RUN)
+        self._free(placeholder, now, refuse("released"))
 
     async def execute_held(
         self, work: Work, placeholder: Work, now: float
@@ -218,8 +203,7 @@
             result = await self._claim(turn, now, lambda: self._call(turn))
             return result
         finally:
-            outcome = result.outcome if result else Outcome.UNKNOWN
-            self._free(placeholder, self._clock(), outcome)
+            self._free(placeholder, self._clock(), result)
 
     async def _claim(
         self, turn: _Turn, now: float, act: Callable[[], Any]
@@ -251,13 +235,11 @@
     async def _take_turn(self, turn: _Turn, now: float) -> WorkResult:
         work = turn.work
         match self._admission.admit(work, now):
-            case Refuse(reason, retry_after):
-                return refuse(reason.value, retry_after)
+            case Refuse() as refusal:
+                return _convert(refusal)
             case Run():
-                turn.state = _State.STARTED
-                self.running += 1
+                self._start(turn)
             case Queue():
-                turn.queued = True
                 self._waiting[work.id] = turn
         result = None
         try:
@@ -297,14 +279,16 @@
         """Hands the request to a peer unless a slot here is free first."""
         offers = 0
         while turn.state is _State.WAITING and offers < MAX_OFFERS:
-            reservation = await self._offload.reserve(turn.work)
+            reservation = await self._reserve(turn.work)
             if reservation is None:
                 await anyio.sleep(OFFER_PAUSE_S)
                 continue
+            self._pump()
             if turn.state is not _State.WAITING:
                 self._offload.release(reservation)
                 return
             offers += 1
+            self._admission.cancel(turn.work, self._clock())
             turn.state = _State.HANDED
             turn.begun = True
             result = await self._offload.hand_on(reservation, turn.work)
@@ -312,6 +296,15 @@
                 turn.result = result
                 turn.go.set()
 
+    async def _reserve(self, work: Work) -> Grant | None:
+        if self._asking >= ASKING_PER_SLOT * self.slots:
+            return None
+        self._asking += 1
+        try:
+            return await self._offload.reserve(work)
+        finally:
+            self._asking -= 1
+
     def _resume(self, turn: _Turn, result: WorkResult) -> bool:
         """Returns whether the request waits here again after a peer's reply."""
         work = turn.work
@@ -324,15 +317,12 @@
                 turn.lost = True
                 if not work.idempotent:
                     return False
+        decision = self._admission.admit(work, self._clock())
+        if isinstance(decision, Refuse):
+            return False
         turn.state = _State.WAITING
-        if not turn.queued:
-            match self._admission.admit(work, self._clock()):
-                case Refuse():
-                    return False
-                case Run():
-                    self._start(turn)
-                case Queue():
-                    turn.queued = True
+        if isinstance(decision, Run):
+            self._start(turn)
         return True
 
     async def _call(self, turn: _Turn) -> WorkResult:
@@ -343,18 +333,23 @@
         return await self._backend.call(turn.work, remaining)
 
     def _leave(self, turn: _Turn, result: WorkResult | None) -> None:
-        self._waiting.pop(turn.work.id, None)
-        if turn.queued:
-            self._admission.cancel(turn.work, self._clock())
-        if turn.state is not _State.STARTED:
-            turn.state = _State.GONE
+        work, state, now = turn.work, turn.state, self._clock()
+        self._waiting.pop(work.id, None)
+        turn.state = _State.GONE
+        if state is _State.STARTED:
+            self._free(work, now, result)
             return
-        outcome = result.outcome if result else Outcome.UNKNOWN
-        self._free(turn.work, self._clock(), outcome)
+        # Also when the deadline has passed: admission may not know yet.
+        if self._admission.cancel(work, now):
+            self._pump()
 
-    def _free(self, holder: Work, now: float, outcome: Outcome) -> None:
+    def _free(
+        self, holder: Work, now: float, result: WorkResult | None
+    ) -> None:
+        result = result or lose("cancelled")
+        shed = result.status in SHED_STATUSES
         self.running -= 1
-        self._admission.finish(holder, now, outcome)
+        self._admission.finish(holder, now, result.outcome, shed)
         self._pump()
 
     def _start(self, turn: _Turn) -> None:
@@ -363,26 +358,22 @@
         turn.go.set()
 
     def _pump(self) -> None:
-        """Starts queued requests while admission has slots for them."""
-        while True:
-            now = self._clock()
-            request = self._admission.take_next(now)
-            if request is None:
-                break
+        """Starts and refuses queued requests as admission decides."""
+        now = self._clock()
+        while (request := self._admission.take_next(now)) is not None:
             turn = self._waiting.get(request.id)
-            if turn is not None:
-                turn.queued = False
             if turn is None or turn.state is not _State.WAITING:
-                # It was cancelled, expired or handed on: the slot is free.
                 self._admission.finish(request, now, Outcome.NOT_RUN)
                 continue
             self._start(turn)
-        for request, refusal in self._admission.take_refused(self._clock()):
+        for request, refusal in self._admission.take_refused(now):
             turn = self._waiting.get(request.id)
-            if turn is None:
+            if turn is None or turn.state is not _State.WAITING:
                 continue
-            turn.queued = False
-            if turn.state is _State.WAITING:
-                turn.result = refuse(refusal.reason.value, refusal.retry_after)
-                turn.state = _State.GONE
-                turn.go.set()
+            turn.state = _State.GONE
+            turn.result = _convert(refusal)
+            turn.go.set()
+
+
+def _convert(refusal: Refuse) -> WorkResult:
+    return refuse(refusal.reason.value, refusal.retry_after)
--- a/jujuberun/streams.py
+++ b/jujuberun/streams.py
@@ -8,7 +8,11 @@
 
 import anyio
 from aioquic.buffer import Buffer
-from aioquic.h3.connection import H3Connection
+from aioquic.h3.connection import (
+    H3Connection,
+    ProtocolError,
+    validate_response_headers,
+)
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic import events
 from aioquic.quic.configuration import QuicConfiguration
@@ -16,7 +20,7 @@
 from aioquic.quic.packet import QuicPacketType, pull_quic_header
 from anyio.abc import TaskGroup
 
-from jujuberun.manifest import Service
+from jujuberun.manifest import FirstPacket, FirstPacketRule, Service
 from jujuberun.quic import (
     H3_NO_ERROR,
     H3_REQUEST_CANCELLED,
@@ -26,6 +30,7 @@
     Headers,
     encode_goaway,
 )
+from jujuberun.wire import make_reset
 from jujuberun.work import (
     Work,
     WorkResult,
@@ -41,6 +46,8 @@
 MAX_INBOX_PACKETS = 512  # QUIC resends what is dropped beyond
 MAX_BODY_BYTES = 4 << 20  # of one request
 MAX_BODIES_BYTES = 8 << 20  # of all unfinished requests of a flow
+_ID_BYTES = 8
+_START = FirstPacket(FirstPacketRule.QUIC)
 _log = logging.getLogger(__name__)
 
 
@@ -101,6 +108,7 @@
         )
         self._wake = anyio.Event()
         self._quic: QuicConnection | None = None
+        self._start_ids: tuple[bytes, bytes] = (b"", b"")
         self._http: H3Connection | None = None
         self._requests: dict[int, _Request] = {}
         self._next_stream = 0
@@ -109,7 +117,8 @@
         self._draining = False
         self._goaway_sent = False
         self._ended = False
-        self._active = clock()
+        self._active = clock()  # last datagram or end of a request
+        self._served = clock()  # last end of a request that was accepted
 
     @classmethod
     def from_config(
@@ -146,6 +155,8 @@
 
     def drain(self) -> None:
         """Refuses new requests; run() returns once the open ones are done."""
+        if not self._draining:
+            self._served = max(self._served, self._clock())
         self._draining = True
         self._wake.set()
 
@@ -188,7 +199,7 @@
         if self._http is None:
             timer = min(timer, self._active + HANDSHAKE_TIMEOUT_S)
         if self._draining and not self._requests:
-            timer = min(timer, self._active + LINGER_S)
+            timer = min(timer, self._served + LINGER_S)
         return timer
 
     def _receive(self) -> None:
@@ -198,6 +209,10 @@
             payload, now = self._inbox.popleft()
             if self._quic is None and not self._accept(payload):
                 continue
+            if self._is_other_start(payload):
+                # Replacing the connection would let a forged packet end it.
+                self._send(make_reset("flow-in-use", 0, payload))
+                continue
             self._active = max(self._active, now)
             self._quic.receive_datagram(payload, PATH, now)
         now = self._clock()
@@ -225,8 +240,20 @@
             configuration=self._tls,
             original_destination_connection_id=header.destination_cid,
         )
+        # A caller's Initial packets name one of these ids; 8 bytes tell
+        # connections apart, and RFC 9000 requires at least as many.
+        self._start_ids = (
+            header.destination_cid[:_ID_BYTES],
+            self._quic.host_cid[:_ID_BYTES],
+        )
         return True
 
+    def _is_other_start(self, payload: bytes) -> bool:
+        """Returns whether a packet would begin another connection."""
+        if len(payload) < 14 or not _START.accepts(payload):
+            return False
+        return payload[6 : 6 + _ID_BYTES] not in self._start_ids
+
     def _handle_events(self, group: TaskGroup) -> None:
         if self._quic is None:
             return
@@ -295,6 +322,8 @@
             self._body_bytes -= len(request.body)
             del self._requests[stream]
             self._active = max(self._active, self._clock())
+            if not request.refused:
+                self._served = self._active
             self._wake.set()
         if result is not None and not request.scope.cancel_called:
             self._respond(stream, result)
@@ -323,6 +352,12 @@
             return
         body = result.body
         headers = encode_result(result)
+        try:
+            validate_response_headers(headers)
+        except ProtocolError:
+            # The caller would close the connection with all its requests.
+            body = b""
+            headers = encode_result(lose("malformed-answer"))
         self._http.send_headers(stream, headers, end_stream=not body)
         if body:
             self._http.send_data(stream, body, end_stream=True)
@@ -334,9 +369,9 @@
             self._goaway_sent = True
             frame = encode_goaway(self._next_stream)
             self._quic.send_stream_data(SERVER_CONTROL_STREAM, frame)
-        if self._requests or self._clock() < self._active + LINGER_S:
+        if self._clock() < self._served + LINGER_S:
             return
-        self._ended = True
+        self._ended = all(r.refused for r in self._requests.values())
 
     def _transmit(self) -> None:
         if self._quic is None:
