Measure the control plane

In-process peers over loopback at 16, 48, 96 and 192 processes, 16 peers with documents of 4,170 processes, a model of the gossip at 4,170, and the worst minute.

--- /dev/null
+++ b/jujuberun/control_costs.py
@@ -0,0 +1,163 @@
+"""Costs of the control plane of one daemon, measured in one process."""
+
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from jujuberun.generations import Generations
+from jujuberun.ids import Address, VmId
+from jujuberun.members import Members
+from jujuberun.standin_peers import (
+    AGENTS,
+    PROCESSES,
+    PeerFleet,
+    make_manifest,
+    make_vm_list,
+)
+
+# Whole gossip periods, so that each window holds the same messages.
+IDLE_S, QUICK_IDLE_S = 3.0, 1.0
+REST_S, QUICK_REST_S = 1.25, 0.2  # before and after the phases
+DAY_S = 86_400.0
+MANIFEST_CHANGES = 420 / DAY_S  # per second
+# A failed VM leaves the list and its replacement joins it; a restarted or
+# replaced one is listed as leaving and then as live.
+VM_CHANGES = 2 * (23 + 820) / DAY_S  # per second
+HELD_VERSIONS = 3  # manifests of 300 s, at 420 changes a day
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Cost of the control plane of one daemon in a fleet of one size.
+
+    Attributes:
+        size: processes of the fleet.
+        idle_bytes: bytes per second, sent and received.
+        idle_cpu: CPU seconds per second.
+        manifest_bytes: bytes for each manifest change.
+        manifest_cpu: CPU seconds for each manifest change.
+        vms_bytes: bytes for each change of the VM list.
+        vms_cpu: CPU seconds for each change of the VM list.
+        manifest_s: seconds until a manifest was in force everywhere.
+        vms_s: seconds until a VM list was held everywhere.
+        memory: bytes of the documents that a daemon holds.
+    """
+
+    size: int
+    idle_bytes: float
+    idle_cpu: float
+    manifest_bytes: float
+    manifest_cpu: float
+    vms_bytes: float
+    vms_cpu: float
+    manifest_s: float
+    vms_s: float
+    memory: float
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Bytes per second with the changes of an ordinary day."""
+        return (
+            self.idle_bytes
+            + MANIFEST_CHANGES * self.manifest_bytes
+            + VM_CHANGES * self.vms_bytes
+        )
+
+    @property
+    def cpu_share(self) -> float:
+        """Percent of a core with the changes of an ordinary day."""
+        changes = MANIFEST_CHANGES * self.manifest_cpu
+        changes += VM_CHANGES * self.vms_cpu
+        return 100 * (self.idle_cpu + changes)
+
+
+async def measure_size(
+    size: int, quick: bool, listed: int | None = None
+) -> Cost:
+    """Measures a fleet of in-process peers over loopback.
+
+    Args:
+        size: number of peers.
+        quick: whether the phases are short.
+        listed: VMs of the list, when it is longer; see PeerFleet.
+    """
+    fleet = PeerFleet(size, listed)
+    idle_s = QUICK_IDLE_S if quick else IDLE_S
+    rest_s = QUICK_REST_S if quick else REST_S
+    async with anyio.create_task_group() as group:
+        await fleet.start(group)
+        await anyio.sleep(rest_s)
+        _, idle_bytes, idle_cpu = await _measure_phase(fleet, None, idle_s)
+        idle_bytes /= idle_s
+        idle_cpu /= idle_s
+        changes = []
+        for publish in (fleet.publish_manifest, fleet.publish_vms):
+            # The phase goes on after the change for late fetches.
+            seconds, sent, cpu = await _measure_phase(fleet, publish, rest_s)
+            length = seconds + rest_s
+            changes.append(
+                (seconds, sent - idle_bytes * length, cpu - idle_cpu * length)
+            )
+        group.cancel_scope.cancel()
+    fleet.close()
+    (manifest_s, manifest_bytes, manifest_cpu), vms = changes
+    return Cost(
+        size=size,
+        idle_bytes=idle_bytes,
+        idle_cpu=idle_cpu,
+        manifest_bytes=manifest_bytes,
+        manifest_cpu=manifest_cpu,
+        vms_bytes=vms[1],
+        vms_cpu=vms[2],
+        manifest_s=manifest_s,
+        vms_s=vms[0],
+        memory=measure_memory(listed or size),
+    )
+
+
+async def _measure_phase(
+    fleet: PeerFleet, publish: Callable[[], None] | None, rest: float
+) -> tuple[float, float, float]:
+    """Returns seconds until settled, and bytes and CPU s of each daemon."""
+    bytes_before = sum(fleet.count_bytes())
+    cpu_before = time.process_time()
+    started = time.monotonic()
+    if publish is not None:
+        publish()
+    await fleet.wait_settled()
+    seconds = time.monotonic() - started
+    await anyio.sleep(rest)
+    size = len(fleet.peers)
+    cpu = (time.process_time() - cpu_before) / size
+    return seconds, (sum(fleet.count_bytes()) - bytes_before) / size, cpu
+
+
+def measure_memory(size: int) -> float:
+    """Returns the bytes of documents that a daemon holds.
+
+    Args:
+        size: processes of its fleet.
+    """
+    targets = max(2, size * AGENTS // PROCESSES)
+    texts = [make_manifest(n + 1, targets) for n in range(HELD_VERSIONS)]
+    addresses = [make_vm_address(n) for n in range(size)]
+    lists = [make_vm_list(addresses, n + 1, n) for n in range(8)]
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    generations, members = Generations(), Members(VmId("vm-0000"))
+    for text in texts:
+        generations.offer(text, "platform", 0.0)
+    for text in lists:
+        members.offer(text, "platform", 0.0)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    held = sum(map(len, texts)) + sum(map(len, lists))
+    return after - before + held
+
+
+def make_vm_address(number: int) -> Address:
+    """Returns the peer address of a VM in documents that are not gossiped."""
+    return f"10.0.{number >> 8}.{number & 255}", 7100
--- a/jujuberun/generations.py
+++ b/jujuberun/generations.py
@@ -7,7 +7,6 @@
 from enum import Enum
 from typing import Any
 
-import anyio
 from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
@@ -75,6 +74,10 @@
         """The version in force, or None before the first."""
         return self._versions[-1] if self._versions else None
 
+    async def run(self, task_status: TaskStatus[None]) -> None:
+        """Returns at once: the part has state and no task of its own."""
+        task_status.started()
+
     @property
     def position(self) -> int:
         """Generation in force, 0 before the first."""
@@ -192,13 +195,6 @@
         self._conflict = (self.position, digest)
         self._note_refusal(str(self._make_conflict(self.position, origin)))
 
-    async def run(
-        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Does nothing: other parts offer manifests."""
-        task_status.started()
-        await anyio.sleep_forever()
-
     def dump_state(self, now: float) -> dict[str, Any]:
         """Returns generation, digest, origin and age in seconds."""
         current = self.current
@@ -230,6 +226,10 @@
         version = Version(tables, data, origin, now, digest_document(data))
         if current is not None:
             self._versions[-1] = dataclasses.replace(current, replaced=now)
+        # A version of the target scale takes several MB.
+        self._versions = [
+            held for held in self._versions if now - held.replaced <= HISTORY_S
+        ]
         self._versions.append(version)
         del self._versions[:-HISTORY_COUNT]
         logger.info(
--- /dev/null
+++ b/jujuberun/measure_control.py
@@ -0,0 +1,360 @@
+"""Measures the cost of the control plane and the time of a change."""
+
+import logging
+import random
+import time
+from pathlib import Path
+
+import anyio
+
+from jujuberun import manifest as manifest_module
+from jujuberun.control_costs import (
+    MANIFEST_CHANGES,
+    VM_CHANGES,
+    Cost,
+    make_vm_address,
+    measure_size,
+)
+from jujuberun.delta import pack_document
+from jujuberun.fits import Fit
+from jujuberun.manifest import parse_manifest
+from jujuberun.measure import Options, Report, Row, Series
+from jujuberun.members import parse_vm_list
+from jujuberun.standin_gossip import simulate_spread
+from jujuberun.standin_peers import (
+    AGENTS,
+    PROCESSES,
+    PeerFleet,
+    make_manifest,
+    make_vm_list,
+)
+from jujuberun.watch import (
+    START_SPREAD_S,
+    compute_reads_per_s,
+    compute_start_reads_per_s,
+)
+
+SIZES = (16, 48, 96, 192)
+QUICK_SIZES = (4, 8, 12)
+WORST_SIZE, QUICK_WORST_SIZE = 96, 9
+FULL_SIZE_PEERS = 16
+OUTAGE_S, QUICK_OUTAGE_S = 4.0, 0.5
+WATCHERS = 60  # 3 in each of 10 failure domains and 2 roles
+MAX_BYTES_PER_S = 5_000.0
+MAX_CPU_SHARE = 1.0  # percent of a core
+MAX_MEMORY_MB = 128.0
+MAX_IN_FORCE_S = 5.0
+MAX_READS_PER_S = 2_000.0
+HOP_S = 0.005  # two round trips of 1 ms one way, and the work of the sender
+MINUTE_S = 60.0
+
+
+def measure(options: Options) -> Report:
+    """Measures fleets of in-process peers over loopback.
+
+    Args:
+        options: seed, quick run, progress.
+    """
+    # Peers that have to catch up refuse nothing, and their logs are long.
+    logging.getLogger("jujuberun").setLevel(logging.ERROR)
+    sizes = QUICK_SIZES if options.quick else SIZES
+    costs = []
+    for size in sizes:
+        options.progress(f"control: {size} processes")
+        costs.append(anyio.run(measure_size, size, options.quick))
+    options.progress("control: worst minute")
+    worst = anyio.run(_measure_worst, options.quick)
+    options.progress("control: documents at full size")
+    if not options.quick:
+        full = anyio.run(measure_size, FULL_SIZE_PEERS, False, PROCESSES)
+        worst += _report_full(full)
+    rows, notes = _extrapolate(costs, options.quick)
+    rows += _measure_full_size(options)
+    rows += _model_in_force(options)
+    rows += worst
+    rows += _compute_reads()
+    return Report(
+        "control",
+        options.seed,
+        tuple(rows),
+        tuple(notes),
+        tuple(_make_series(costs)),
+        "processes",
+        "B/s, percent of a core, seconds",
+    )
+
+
+def _make_series(costs: list[Cost]) -> list[Series]:
+    sizes = tuple(float(cost.size) for cost in costs)
+    return [
+        Series("bytes/s", sizes, tuple(c.bytes_per_s for c in costs)),
+        Series("CPU percent", sizes, tuple(c.cpu_share for c in costs)),
+        Series(
+            "manifest in force s", sizes, tuple(c.manifest_s for c in costs)
+        ),
+    ]
+
+
+def _extrapolate(costs: list[Cost], quick: bool) -> tuple[list[Row], list[str]]:
+    rows = []
+    notes = []
+    if quick:
+        notes.append(
+            "quick run: fleets and times are too small for the fits to be "
+            "compared with the limits"
+        )
+    sizes = [float(cost.size) for cost in costs]
+    quantities = (
+        ("control bytes/s", "bytes_per_s", 1, "B/s", MAX_BYTES_PER_S),
+        ("control documents", "memory", 1e-6, "MB", MAX_MEMORY_MB),
+        ("idle bytes/s", "idle_bytes", 1, "B/s", None),
+        ("idle CPU", "idle_cpu", 100, "% of a core", None),
+        ("bytes of a manifest change", "manifest_bytes", 1, "B", None),
+        ("CPU of a manifest change", "manifest_cpu", 1000, "ms", None),
+        ("bytes of a VM list change", "vms_bytes", 1, "B", None),
+        ("CPU of a VM list change", "vms_cpu", 1000, "ms", None),
+    )
+    for name, field, scale, unit, limit in quantities:
+        values = [scale * getattr(cost, field) for cost in costs]
+        fit = Fit.from_points(sizes, values)
+        ours = fit.predict(PROCESSES)
+        label = f"{name}, fit at {PROCESSES}"
+        if limit is None or quick:
+            rows.append(Row(label, ours, None, unit))
+        else:
+            rows.append(_bound(label, ours, unit, limit))
+            share = 100 * ours / limit
+            notes.append(f"{name}: {share:.1f}% of the limit of {limit:g}")
+        points = ", ".join(
+            f"{size:g}: {value:.4g}"
+            for size, value in zip(sizes, values, strict=True)
+        )
+        notes.append(
+            f"{name} ({unit}): {points}; {fit.intercept:.4g} + "
+            f"{fit.slope:.4g} per process; residual {100 * fit.residual:.1f}%"
+        )
+    cpu = _predict_cpu(costs)
+    name = f"control CPU, fit at {PROCESSES}"
+    if quick:
+        rows.append(Row(name, cpu, None, "% of a core"))
+    else:
+        rows.append(_bound(name, cpu, "% of a core", MAX_CPU_SHARE))
+        share = 100 * cpu / MAX_CPU_SHARE
+        notes.append(f"control CPU: {share:.1f}% of the limit")
+    for cost in costs:
+        label = f"manifest in force, {cost.size} processes on one core"
+        rows.append(_bound(label, cost.manifest_s, "s", MAX_IN_FORCE_S))
+        label = f"VM list held, {cost.size} processes on one core"
+        rows.append(Row(label, cost.vms_s, None, "s"))
+    rss = _read_rss_mb()
+    notes.append(f"resident memory of the measuring process: {rss:.0f} MB")
+    return rows, notes
+
+
+def _predict_cpu(costs: list[Cost]) -> float:
+    """Returns the percent of a core at the target scale.
+
+    The idle cost is that of the dearest size, not its fit: it does not depend
+    on the fleet, and it falls with the number of peers that share one event
+    loop, so that the fit would be negative. The cost of changes is fitted.
+    """
+    sizes = [float(cost.size) for cost in costs]
+    manifest = Fit.from_points(sizes, [c.manifest_cpu for c in costs])
+    vms = Fit.from_points(sizes, [c.vms_cpu for c in costs])
+    idle = max(cost.idle_cpu for cost in costs)
+    changes = MANIFEST_CHANGES * manifest.predict(PROCESSES)
+    changes += VM_CHANGES * vms.predict(PROCESSES)
+    return 100 * (idle + changes)
+
+
+def _measure_full_size(options: Options) -> list[Row]:
+    """Measures the documents of the target scale in one process."""
+    texts = [make_manifest(n, AGENTS) for n in (1, 2)]
+    for checked in manifest_module._checked.values():
+        checked.clear()
+    seconds = []
+    for text in texts:
+        started = time.process_time()
+        parse_manifest(text).unwrap()
+        seconds.append(time.process_time() - started)
+    addresses = [make_vm_address(n) for n in range(PROCESSES)]
+    vms = make_vm_list(addresses, 1)
+    started = time.process_time()
+    parse_vm_list(vms).unwrap()
+    list_s = time.process_time() - started
+    # Each process receives both documents whole, and sends them once.
+    packed = len(pack_document(texts[0])) + len(pack_document(vms))
+    rate = 2 * packed / MINUTE_S
+    share = 100 * (seconds[0] + list_s) / MINUTE_S
+    return [
+        Row("first manifest, full size, CPU", seconds[0], None, "s"),
+        Row("changed manifest, full size, CPU", seconds[1], None, "s"),
+        Row("VM list, full size, CPU", list_s, None, "s"),
+        Row("manifest text, full size", len(texts[0]) / 1e3, None, "kB"),
+        Row("VM list text, full size", len(vms) / 1e3, None, "kB"),
+        _bound(
+            "worst minute, all restart, documents at full size: bytes/s",
+            rate,
+            "B/s",
+            MAX_BYTES_PER_S,
+        ),
+        _bound(
+            "worst minute, all restart, documents at full size: CPU",
+            share,
+            "% of a core",
+            MAX_CPU_SHARE,
+        ),
+    ]
+
+
+def _report_full(cost: Cost) -> list[Row]:
+    """Reports a few peers that hold the documents of the target scale."""
+    suffix = f"{cost.size} peers, documents of {PROCESSES}"
+    return [
+        _bound(
+            f"control bytes/s, {suffix}",
+            cost.bytes_per_s,
+            "B/s",
+            MAX_BYTES_PER_S,
+        ),
+        _bound(
+            f"control CPU, {suffix}",
+            cost.cpu_share,
+            "% of a core",
+            MAX_CPU_SHARE,
+        ),
+        _bound(
+            f"control documents, {suffix}",
+            cost.memory / 1e6,
+            "MB",
+            MAX_MEMORY_MB,
+        ),
+        Row(f"idle bytes/s, {suffix}", cost.idle_bytes, None, "B/s"),
+        Row(f"idle CPU, {suffix}", 100 * cost.idle_cpu, None, "% of a core"),
+        Row(
+            f"CPU of a manifest change, {suffix}",
+            1000 * cost.manifest_cpu,
+            None,
+            "ms",
+        ),
+        Row(
+            f"CPU of a VM list change, {suffix}",
+            1000 * cost.vms_cpu,
+            None,
+            "ms",
+        ),
+    ]
+
+
+def _model_in_force(options: Options) -> list[Row]:
+    """Models the spread of a change where each process has its own core."""
+    text = make_manifest(3, AGENTS)
+    started = time.process_time()
+    parse_manifest(text).unwrap()
+    hop = HOP_S + time.process_time() - started
+    rng = random.Random(options.seed)
+    repeats = 2 if options.quick else 6
+    rows = []
+    for name, start in (("all connected", 1), ("platform answers one", 0)):
+        first = WATCHERS if start else 1
+        times = [
+            simulate_spread(PROCESSES, first, hop, rng) for _ in range(repeats)
+        ]
+        label = f"in force at {PROCESSES}, model, {name}, worst of {repeats}"
+        rows.append(_bound(label, max(times), "s", MAX_IN_FORCE_S))
+    return rows
+
+
+async def _measure_worst(quick: bool) -> list[Row]:
+    """Measures a restart of all daemons and the return of a region."""
+    size = QUICK_WORST_SIZE if quick else WORST_SIZE
+    outage = QUICK_OUTAGE_S if quick else OUTAGE_S
+    fleet = PeerFleet(size)
+    async with anyio.create_task_group() as group:
+        await fleet.start(group)
+        fleet.stop()
+        await anyio.sleep(0.2)
+        for peer in fleet.peers:
+            peer.reset()
+        cpu = time.process_time()
+        restart_s = await fleet.restart(group)
+        cpu = (time.process_time() - cpu) / size
+        rows = _report_minute("all restart", size, restart_s, fleet, 0, cpu)
+        fleet.cut_region()
+        fleet.publish_manifest()
+        fleet.publish_vms()
+        await anyio.sleep(outage)
+        before = sum(fleet.count_bytes())
+        cpu = time.process_time()
+        started = time.monotonic()
+        fleet.heal()
+        await fleet.wait_settled()
+        seconds = time.monotonic() - started
+        cpu = (time.process_time() - cpu) / size
+        rows += _report_minute(
+            "a third rejoins", size, seconds, fleet, before, cpu
+        )
+        group.cancel_scope.cancel()
+    fleet.close()
+    return rows
+
+
+def _report_minute(
+    name: str,
+    size: int,
+    seconds: float,
+    fleet: PeerFleet,
+    before: int,
+    cpu: float,
+) -> list[Row]:
+    counts = fleet.count_bytes()
+    mean = (sum(counts) - before) / size
+    prefix = f"worst minute, {name}, {size} processes"
+    share = 100 * cpu / MINUTE_S
+    rate = mean / MINUTE_S
+    # A start may wait for the spread reads of the platform first.
+    limit = MAX_IN_FORCE_S + (0 if before else 2 * START_SPREAD_S)
+    rows = [
+        _bound(f"{prefix}: all up to date", seconds, "s", limit),
+        _bound(
+            f"{prefix}: bytes/s over the minute", rate, "B/s", MAX_BYTES_PER_S
+        ),
+        _bound(
+            f"{prefix}: CPU over the minute",
+            share,
+            "% of a core",
+            MAX_CPU_SHARE,
+        ),
+    ]
+    if not before:
+        label = f"{prefix}: busiest daemon, bytes"
+        rows.append(Row(label, max(counts), None, "B"))
+        peak = fleet.platform.find_peak_rate()
+        label = f"{prefix}: reads of the platform"
+        rows.append(Row(label, peak, None, "reads/s"))
+    return rows
+
+
+def _compute_reads() -> list[Row]:
+    settled = compute_reads_per_s(WATCHERS, PROCESSES - WATCHERS)
+    start = compute_start_reads_per_s(PROCESSES)
+    return [
+        _bound(
+            f"reads of {PROCESSES} processes {name}, computed",
+            reads,
+            "reads/s",
+            MAX_READS_PER_S,
+        )
+        for name, reads in (("settled", settled), ("starting", start))
+    ]
+
+
+def _bound(name: str, ours: float, unit: str, limit: float) -> Row:
+    return Row(name, ours, None, unit, f"<= {limit:g}", ours <= limit)
+
+
+def _read_rss_mb() -> float:
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1000
+    return 0.0
--- a/jujuberun/members.py
+++ b/jujuberun/members.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import anyio
 from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
@@ -211,12 +210,9 @@
         self.refused.append(text)
         logger.error("members: refused: %s", text)
 
-    async def run(
-        self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Does nothing: other parts offer lists."""
+    async def run(self, task_status: TaskStatus[None]) -> None:
+        """Returns at once: the part has state and no task of its own."""
         task_status.started()
-        await anyio.sleep_forever()
 
     def dump_state(self, now: float) -> dict[str, Any]:
         """Returns index, number of VMs, age in seconds and refusals."""
--- a/jujuberun/source.py
+++ b/jujuberun/source.py
@@ -176,6 +176,8 @@
             headers={"User-Agent": f"jujuberun/{vm}"},
             transport=make_transport() if make_transport else None,
             trust_env=False,
+            # The certificates take tens of ms and MB to load.
+            verify=url.startswith("https:"),
         )
         return cls(client)
 
--- a/jujuberun/spread.py
+++ b/jujuberun/spread.py
@@ -262,10 +262,11 @@
         self._send_status(peers, asks=self._token)
 
     def _choose_peers(self, count: int) -> list[Address]:
-        known = self._members.peers or self._seeds
-        if len(known) <= count:
-            return list(known)
-        return self._rng.sample(known, count)
+        known = self._members.peers
+        if not known:
+            # A fleet that starts without a VM list asks only the seeds.
+            known, count = self._seeds, 1
+        return self._rng.sample(known, min(count, len(known)))
 
     def _send_status(
         self,
--- a/jujuberun/standin_platform.py
+++ b/jujuberun/standin_platform.py
@@ -67,6 +67,7 @@
         reads: counts of reads by path.
         pending: watches that wait at present.
         peak_pending: highest number of pending watches.
+        sent_bytes: bytes of documents sent.
     """
 
     def __init__(self, address: Address = ("127.0.0.1", 0)) -> None:
@@ -77,6 +78,7 @@
         self.reads: Counter[str] = Counter()
         self.pending = 0
         self.peak_pending = 0
+        self.sent_bytes = 0
         self._times: deque[float] = deque(maxlen=100_000)
         self._documents: dict[str, tuple[int, bytes]] = {}
         self._stale: dict[str, tuple[int, bytes]] = {}
@@ -141,8 +143,7 @@
         """
         self.reads[kind] += 1
         self._times.append(anyio.current_time())
-        if not self.accepts(reader) or self.mode is Mode.HANGING:
-            await anyio.sleep_forever()
+        await self._hang_when_due(reader)
         if self.mode is Mode.SLOW:
             await anyio.sleep(self.delay)
         if self.mode is Mode.FAILING:
@@ -150,8 +151,14 @@
         if self.mode is Mode.OVERSIZED:
             return Answer(200, 1, b" " * 1_500_000)
         found = await self._find_newer(kind, index, min(wait, MAX_WAIT_S))
+        # The behaviour may have changed while the watch was pending.
+        await self._hang_when_due(reader)
         return Answer(304) if found is None else Answer(200, *found)
 
+    async def _hang_when_due(self, reader: str) -> None:
+        if not self.accepts(reader) or self.mode is Mode.HANGING:
+            await anyio.sleep_forever()
+
     async def _serve(self, stream: SocketStream) -> None:
         closed = (OSError, anyio.EndOfStream, anyio.BrokenResourceError)
         with contextlib.suppress(ValueError, KeyError, *closed):
@@ -202,6 +209,7 @@
             group.cancel_scope.cancel()
         if answer is None:
             return False
+        self.sent_bytes += len(answer.body)
         await _send(stream, answer)
         return True
 
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -66,3 +66,12 @@
         self.assertEqual(2, len(late))
         result = generations.add_history(make_manifest(10), "peer", 0.0, 1.0)
         self.assertIn("not older", str(result.err_value))
+
+    def test_old_versions_are_dropped(self):
+        # Guards against 16 versions of several MB each that are held for
+        # days.
+        generations = Generations()
+        for number in range(1, 5):
+            now = number * (HISTORY_S + 1)
+            generations.offer(make_manifest(number), "platform", now)
+        self.assertEqual(2, len(generations._versions))
