Keep long runs of less urgent services from the last slot

A less urgent service beyond its share no longer takes the last slot when two of its mean run times exceed what an active more urgent service may wait, and slots kept free of a flood rise from 3 to 4 times the usual occupancy.

--- a/jujuberun/admission.py
+++ b/jujuberun/admission.py
@@ -22,17 +22,18 @@
 QUEUE_LIMIT = 64  # requests of one class
 FLOOD_DROP_S = 0.45  # queued work of a flood is refused after this time
 OVERLOAD_S = 2.0  # shares are not learned this long after a refusal
-MIN_RETRY_S = 1.0
-MAX_RETRY_S = 30.0
 SHED_FACTOR = 0.7  # cut of the limit when the target sheds load
 RAISE_STEP = 0.1  # raise of the limit at each answer, in slots
 
 # Work that would wait longer is refused on arrival, seconds.
 MAX_WAITS_S = {Urgency.URGENT: 0.5, Urgency.NORMAL: 2.0, Urgency.BULK: 4.0}
 FLOOD_WAIT_S = 0.3  # the same for a service that floods
+# A service beyond its share does not take the last slot when so many of its
+# mean run times exceed what an active, more urgent service may wait.
+BLOCKING_RUNS = 2.0
 # While a service floods, slots kept for the others as a multiple of what they
 # usually occupy; their wait grows with the occupancy of all slots.
-SPARE_FACTOR = 3.0
+SPARE_FACTOR = 4.0
 
 
 class Admission:
@@ -155,7 +156,6 @@
             if lane is None:
                 return None
             request = lane.queue.pop(next(iter(lane.queue)))
-            # A queue is at most a sweep old, so this happens rarely.
             if now + lane.run_time > request.deadline:
                 self._refuse_queued(lane, request, now)
                 continue
@@ -284,16 +284,20 @@
         waiting = [lane for lane in waiting if self._may_start(lane, now)]
         within = [lane for lane in waiting if lane.credit > 0.0]
         if within:
-            return min(
-                within,
-                key=lambda lane: (
-                    lane.is_flooding(now),
-                    lane.urgency,
-                    lane.served,
-                ),
-            )
+            return min(within, key=lambda lane: lane.rank(now))
+        if self.limit - len(self._running) == 1 and self.limit > 1:
+            waiting = [lane for lane in waiting if not self._blocks(lane, now)]
         return min(waiting, key=lambda lane: lane.served, default=None)
 
+    def _blocks(self, lane: Lane, now: float) -> bool:
+        """Returns whether a run would keep more urgent work waiting long."""
+        return any(
+            other.urgency < lane.urgency
+            and not other.is_flooding(now)
+            and BLOCKING_RUNS * lane.run_time > MAX_WAITS_S[other.urgency]
+            for other in self._list_active(lane, now)
+        )
+
     def _list_active(self, lane: Lane, now: float) -> list[Lane]:
         return [
             other
@@ -381,9 +385,8 @@
             self._refused_at = now
             lane.refused_at = now
             lane.denied_at = min(lane.denied_at, now)
-        pressure = 1.0 + lane.refusals / max(1.0, lane.starts)
-        window = min(MAX_RETRY_S, MIN_RETRY_S * pressure)
-        return Refuse(reason, window * self._rng.uniform(0.5, 1.5))
+        spread = self._rng.uniform(0.5, 1.5)
+        return Refuse(reason, lane.compute_retry_after() * spread)
 
     def _cut_limit(self, lane: Lane, now: float) -> None:
         # One cut for each run time: requests started together shed together.
--- a/jujuberun/lane.py
+++ b/jujuberun/lane.py
@@ -22,6 +22,8 @@
 MAX_RUN_RATIO = 8.0
 MAX_LEARN_GAP_S = 5.0
 PRESSURE_TIME_S = 5.0  # time constant of the ratio of refusals to starts
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 30.0
 
 # Share of the slots that a class has before anything is known of its services.
 FLOORS = {Urgency.URGENT: 0.3, Urgency.NORMAL: 0.2, Urgency.BULK: 0.05}
@@ -137,6 +139,18 @@
         counted = min(took, MAX_RUN_RATIO * self.run_time)
         self.run_time += RUN_TIME_GAIN * (counted - self.run_time)
 
+    def rank(self, now: float) -> tuple[bool, Urgency, float]:
+        """Returns the order among services within their share."""
+        return self.is_flooding(now), self.urgency, self.served
+
+    def compute_retry_after(self) -> float:
+        """Returns mean seconds until a refused caller should try again.
+
+        The time grows with the refused requests for each one that ran.
+        """
+        pressure = 1.0 + self.refusals / max(1.0, self.starts)
+        return min(MAX_RETRY_S, MIN_RETRY_S * pressure)
+
     def describe(self) -> dict[str, Any]:
         """Returns the state for dumps."""
         return {
--- /dev/null
+++ b/tests/test_buffers.py
@@ -0,0 +1,43 @@
+from testtools import TestCase
+from testtools.matchers import LessThan
+
+from jujuberun.buffers import (
+    BUFFER_PACKETS,
+    TURN_PACKETS,
+    Packet,
+    RoundRobin,
+    forward,
+)
+from jujuberun.ids import ServiceId
+
+LABEL = ServiceId("label")
+MEAL = ServiceId("meal-change")
+
+
+class BuffersTest(TestCase):
+    def test_buffers_are_bounded_and_lose_nothing_they_took(self):
+        # Guards against lost packets and buffers that grow in a flood.
+        buffers = RoundRobin()
+        packets = [Packet(s, 0.0) for s in (LABEL, MEAL) for _ in range(200)]
+        kept = [packet for packet in packets if buffers.push(packet)]
+        self.assertEqual(2 * BUFFER_PACKETS, len(kept))
+        popped = [buffers.pop() for _ in kept]
+        self.assertCountEqual(map(id, kept), map(id, popped))
+        self.assertIsNone(buffers.pop())
+
+    def test_flooded_socket_delays_others_by_one_packet(self):
+        # Guards against full turns for a socket that never empties: each
+        # packet of another service would wait for a whole turn.
+        buffers = RoundRobin()
+        for _ in range(BUFFER_PACKETS):
+            buffers.push(Packet(LABEL, 0.0))
+        buffers.push(Packet(MEAL, 0.0))
+        order = [buffers.pop().service for _ in range(TURN_PACKETS)]
+        self.assertThat(order.index(MEAL), LessThan(2))
+
+    def test_wait_counts_packets_ahead(self):
+        # Guards against a model that serves faster than its budget.
+        packets = [Packet(LABEL, 0.0) for _ in range(10)]
+        waits = [wait for _, wait in forward(packets, 100.0, RoundRobin())]
+        for place, wait in enumerate(waits):
+            self.assertAlmostEqual(place / 100.0, wait)
