--- a/tests/requestpath.py
+++ b/tests/requestpath.py
@@ -9,7 +9,7 @@
 
 from jujuberun.caller import Caller
 from jujuberun.ids import Outcome, Protocol, ServiceId, Urgency
-from jujuberun.manifest import FirstPacket, Service
+from jujuberun.manifest import FirstPacket, FirstPacketRule, Service
 from jujuberun.quic import make_client_tls
 from jujuberun.standin_certificate import make_certificate
 from jujuberun.streams import RequestFlow
@@ -126,6 +126,7 @@
         self.queue = []
         self.count = 0
         self.wake = anyio.Event()
+        self.scopes = []
         group.start_soon(self.run)
 
     def open_port(self, address):
@@ -138,9 +139,11 @@
             if port in self.silent:
                 return
             flow = self.flows.get(port)
-            if flow is None and self.refuse:
-                reply = make_reset(self.refuse, 50, data)
-                self.carry(port.take, reply)
+            reason = self.refuse
+            if not FirstPacket(FirstPacketRule.QUIC).accepts(data):
+                reason = "unknown-flow"
+            if flow is None and reason:
+                self.carry(port.take, make_reset(reason, 50, data))
                 return
             if flow is None:
                 flow = self.flows[port] = RequestFlow(
@@ -150,11 +153,25 @@
                     self.tls,
                     anyio.current_time,
                 )
-                self.group.start_soon(flow.run)
+                self.group.start_soon(self.run_flow, flow)
             flow.deliver(data, anyio.current_time())
 
         return take
 
+    async def run_flow(self, flow):
+        with anyio.CancelScope() as scope:
+            self.scopes.append(scope)
+            await flow.run()
+
+    def restart(self, executor):
+        """Ends all flows without a word, as a killed agent does."""
+        for flow in self.flows.values():
+            flow._send = lambda data: None
+        self.flows.clear()
+        for scope in self.scopes:
+            scope.cancel()
+        self.executor = executor
+
     def find_port(self, port):
         def take(data):
             if port not in self.silent:
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -1,8 +1,18 @@
+import random
 import time
+from collections import Counter
 
 import anyio
 from fifo import Fifo
-from requestpath import ADDRESS, CERTIFICATE, Echo, PlainBudget, make_service
+from requestpath import (
+    ADDRESS,
+    CERTIFICATE,
+    Echo,
+    Path,
+    PlainBudget,
+    make_service,
+    run_virtual,
+)
 from test_streams import TLS, run_with_path
 from testtools import TestCase
 from testtools.matchers import LessThan
@@ -241,3 +251,76 @@
         self.assertEqual([], target.counts.list_doubles())
         self.assertEqual(50, target.counts.finished)
         self.assertEqual(1, len(flows))
+
+
+class FaultyPathTest(TestCase):
+    def run_faults(self, seed):
+        """Returns calls by id, and how often each ran, under faults."""
+        begun = Counter()
+        calls = {}
+        rng = random.Random(seed)
+
+        class Target:
+            async def call(self, work, timeout):
+                begun[work.path] += 1
+                with anyio.move_on_after(timeout):
+                    await anyio.sleep(rng.random())
+                    body = work.path.encode() + b" " + work.body
+                    return WorkResult(Outcome.ANSWERED, 200, body)
+                return WorkResult(Outcome.UNKNOWN, reason="deadline")
+
+        def make_runner():
+            return Runner(1, Fifo(1, 1), Target(), clock=anyio.current_time)
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                path = Path(group, make_runner(), TLS, seed, 0.05, 0.3)
+                async with path.make_caller(1000) as caller:
+
+                    async def call(number):
+                        await anyio.sleep(rng.random() * 20)
+                        name = f"/{number}"
+                        calls[name] = await caller.request(
+                            ADDRESS,
+                            "POST",
+                            name,
+                            b"x" * number,
+                            idempotent=number % 3 == 0,
+                            timeout=rng.choice([1, 15]),
+                        )
+
+                    async with anyio.create_task_group() as tasks:
+                        for number in range(60):
+                            tasks.start_soon(call, number)
+                        for _ in range(6):
+                            await anyio.sleep(rng.random() * 3)
+                            path.silent.update(path.ports)
+                            await anyio.sleep(rng.choice([0.5, 3, 7]))
+                            path.silent.clear()
+                            if rng.random() < 0.6:
+                                path.restart(make_runner())
+                await anyio.sleep(60)
+                group.cancel_scope.cancel()
+
+        run_virtual(main)
+        return calls, begun
+
+    def test_outcomes_are_true_under_loss_pauses_and_restarts(self):
+        # Guards R3, R4 and R5 over the whole path: a wrong answer, a request
+        # that ran after not-run, or one that ran twice.
+        outcomes = Counter()
+        for seed in range(6):
+            calls, begun = self.run_faults(seed)
+            self.assertEqual(60, len(calls))
+            for name, result in calls.items():
+                number = int(name[1:])
+                outcomes[result.outcome] += 1
+                if number % 3:
+                    self.assertIn(begun[name], (0, 1))
+                match result.outcome:
+                    case Outcome.ANSWERED:
+                        body = name.encode() + b" " + b"x" * number
+                        self.assertEqual(body, result.body)
+                    case Outcome.NOT_RUN:
+                        self.assertEqual(0, begun[name])
+        self.assertEqual(set(Outcome), set(outcomes))
