--- a/jujuberun/offload.py
+++ b/jujuberun/offload.py
@@ -47,7 +47,15 @@
 
 
 class Host(Protocol):
-    """What offload needs of the runner to serve its peers."""
+    """What offload needs of the runner to serve its peers.
+
+    Attributes:
+        running: requests and reservations that have a slot.
+        queued: requests that wait for a slot.
+    """
+
+    running: int
+    queued: int
 
     def hold(self, placeholder: Work, now: float) -> bool:
         """Holds an idle slot."""
@@ -258,7 +266,8 @@
         granted = token in self._held
         if not granted and token not in self._ended:
             granted = self._hold(message, now)
-        self._send(ReserveReply(token, granted, 0, 0), address)
+        busy, queued = self._host.running, self._host.queued
+        self._send(ReserveReply(token, granted, busy, queued), address)
 
     def handle_cancel(self, message: Any, now: float) -> None:
         """Frees a slot or stops a request that a peer has given up."""
--- a/jujuberun/runner.py
+++ b/jujuberun/runner.py
@@ -123,6 +123,11 @@
         """
         return cls(target.slots, admission, Backend(target.address, note))
 
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiting)
+
     def use_offload(self, offload: Offload) -> None:
         """Hands queued requests to peers from now on."""
         self._offload = offload
@@ -146,7 +151,7 @@
         return {
             "slots": self.slots,
             "running": self.running,
-            "waiting": len(self._waiting),
+            "waiting": self.queued,
             "draining": self.draining,
             "outcomes": {k.value: v for k, v in self._counts.items()},
             "register": self._register.describe(),
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -264,3 +264,20 @@
             self.assertTrue(flow._ended)
 
         run_with_path(act)
+
+    def test_answer_that_crosses_a_withdrawal_ends_nothing(self):
+        # Guards against sending an answer on a stream that was reset, which
+        # fails and would end the connection.
+        class Shielded(Echo):
+            async def execute(self, work, now):
+                with anyio.CancelScope(shield=True):
+                    return await super().execute(work, now)
+
+        async def act(path, caller, executor):
+            with anyio.move_on_after(0.5):
+                await caller.request(ADDRESS, "GET", "/a")
+            result = await caller.request(ADDRESS, "GET", "/b")
+            self.assertEqual(Outcome.ANSWERED, result.outcome)
+            self.assertEqual(1, len(path.flows))
+
+        run_with_path(act, Shielded(1.0))
