--- a/jujuberun/admission.py
+++ b/jujuberun/admission.py
@@ -85,10 +85,12 @@
         """Requests that wait."""
         return sum(len(lane.queue) for lane in self._lanes.values())
 
-    @property
-    def load(self) -> int:
-        """Requests that wait or hold a slot."""
-        return self.busy + self.queued
+    def resize(self, slots: int) -> None:
+        """Takes another number of slots, at least 1, from a new manifest."""
+        self._limit = min(self._limit, float(slots))
+        self._slots = slots
+        for lane in self._lanes.values():
+            lane.slots = slots
 
     def admit(self, request: Request, now: float) -> Verdict:
         """Decides on a request that has just arrived.
