Forget idle services when start rates are divided

Removed services kept an even part of the start rate: with 20 of them, a service that asked for 130 starts/s of 194 beside one of 30 was cut to 97.

--- a/jujuberun/shares.py
+++ b/jujuberun/shares.py
@@ -142,6 +142,11 @@
             # A service that gets all that it wants needs no limit.
             limits = crowded and shares[service] < wanted[service]
             grants += self._grant(service, demand, shares[service], limits)
+        self._services = {
+            service: demand
+            for service, demand in self._services.items()
+            if demand.starts or demand.granted
+        }
         return grants
 
     def _find_demands(
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -95,6 +95,21 @@
         for limit in limits.values():
             self.assertEqual({}, limit.describe(PERIOD_S * 30))
 
+    def test_idle_services_take_no_part_of_the_rate(self):
+        # Guards against a rate divided among services that were removed: the
+        # even part of a small one would shrink until it counts as a flood.
+        shares = StartShares.from_config()
+        shares.compute_grants(0.0)
+        for number in range(20):
+            offer(shares, ServiceId(f"old-{number}"), 2.0)
+        for period in range(1, 4):
+            shares.compute_grants(PERIOD_S * period)
+        offer(shares, LABEL, 30.0)
+        offer(shares, MEAL, 130.0)
+        grants = shares.compute_grants(PERIOD_S * 4)
+        granted = sum(g.rate for g in grants if g.service == MEAL)
+        self.assertThat(granted, GreaterThan(130.0))
+
     @settings(max_examples=100, deadline=None, derandomize=True)
     @given(
         rate=st.floats(0.1, 1e4),
