Keep work away from leaving and inactive targets on open connections

Cause: only new flows avoided such targets; requests on open connections still ran there, against the 3 s rule for leaving targets and against idle targets near savings. Such requests now go to an active peer first (0.25 s for inactive targets, until the deadline for leaving ones), else they are refused as not run. A target that left a service keeps its view of the others.

Former homes are dated by the time at which a generation was replaced, also for history taken from a peer; a pause makes the process ask peers at once; suspicions are told to four peers at once.

--- a/jujuberun/assembly.py
+++ b/jujuberun/assembly.py
@@ -70,6 +70,7 @@
         read_clock=anyio.current_time,
     )
     peers.register(Status, spread.handle_status)
+    peers.subscribe_pauses(spread.ask_peers)
     for part in (generations, members, peers, link, spread):
         kernel.register(part)
     kernel.register(Metrics(kernel))
@@ -123,6 +124,7 @@
         anyio.current_time,
     )
     runner.use_offload(offload)
+    runner.choose_place = beliefs.choose_place
     link.serve(Run, lambda m, _: offload.handle_run(m, anyio.current_time()))
     peers.register(Reserve, offload.handle_reserve)
     peers.register(ReserveReply, lambda m, a, _: offload.handle_reply(m, a))
@@ -138,6 +140,7 @@
         own = vm_list.vms.get(settings.vm)
         if own is not None and own.state is VmState.LEAVING:
             agent.refuse_new_flows()
+            runner.draining = True
 
     beliefs.read_load = read_load
     beliefs.is_draining = lambda: agent.draining
--- a/jujuberun/balancer.py
+++ b/jujuberun/balancer.py
@@ -175,6 +175,7 @@
         sealed = []
         add = sealed.append
         listener.used = now
+        self.counts["received"] += len(batch)
         for payload, caller in batch:
             packed = pack_address(caller)
             route = find(caller)
--- a/jujuberun/beliefs.py
+++ b/jujuberun/beliefs.py
@@ -28,7 +28,8 @@
 from jujuberun.members import Members, VmList
 from jujuberun.peers import Peer, Peers, PeerState
 from jujuberun.placement import ActiveTargets, choose_owner, choose_peers
-from jujuberun.view import LoadReport, View
+from jujuberun.runner import Place
+from jujuberun.view import PUSH_PEERS, LoadReport, View
 from jujuberun.wire import Load, Loads
 
 UPDATE_S = 0.25
@@ -61,7 +62,6 @@
         self._generations = generations
         self._rng = rng
         self._views: dict[ServiceId, View] = {}
-        self._built: dict[ServiceId, tuple[tuple[Target, ...], float]] = {}
         self._targets: dict[Address, Target] = {}
         self._silent: set[Address] = set()
         self._reported = 0.0
@@ -93,7 +93,7 @@
             view.hear(LoadReport(self._target, self.read_load(), own), now)
             view.update(now)
             if reports:
-                self._report(service_id, view, now)
+                self._report(service_id, view, now, REPORT_PEERS)
         if reports:
             self._reported = now
 
@@ -144,6 +144,22 @@
         targets = self._generations.current.manifest.targets
         return tuple(targets[n].agent for n in names if n in targets)
 
+    def choose_place(self, service_id: ServiceId, now: float) -> Place:
+        """Tells where a request of a service should run.
+
+        Args:
+            service_id: service of the request.
+            now: seconds, monotonic.
+        """
+        view = self._views.get(service_id)
+        if view is None:
+            return Place.HERE
+        if self._target not in view.names or self.is_draining():
+            return Place.PEERS_ONLY
+        if self._target in view.active:
+            return Place.HERE
+        return Place.PEERS_FIRST
+
     def note_exchange(self, exchange: Exchange, now: float) -> None:
         """Takes evidence of an exchange with the own target.
 
@@ -168,39 +184,29 @@
         return state
 
     def _record(self, target: TargetId, evidence: Evidence, now: float) -> None:
-        for view in self._views.values():
-            if target in view.names:
-                view.record(target, evidence, now)
+        for service_id, view in self._views.items():
+            if target in view.names and view.record(target, evidence, now):
+                self._report(service_id, view, now, PUSH_PEERS)
 
     def _note_version(self, version: Version) -> None:
         manifest = version.manifest
-        views, built = {}, {}
+        views = {}
+        self._targets = {}
         for service in manifest.services.values():
-            if self._target not in service.targets:
-                continue
-            targets = tuple(manifest.targets[n] for n in service.targets)
-            key = (targets, service.headroom)
             view = self._views.get(service.id)
-            if view is None or self._built[service.id] != key:
-                view = self._rebuild(view, targets, service.headroom)
-            views[service.id], built[service.id] = view, key
-        self._views, self._built = views, built
-        self._targets = {
-            target.agent: target
-            for targets, _ in built.values()
-            for target in targets
-        }
-
-    def _rebuild(
-        self, old: View | None, targets: tuple[Target, ...], headroom: float
-    ) -> View:
-        """Builds a view that keeps what is known of targets that stay."""
-        view = View(targets, headroom)
-        if old is not None:
-            now = anyio.current_time()
-            for report in old.list_reports(now):
-                view.hear(report, now)
-        return view
+            # A target that left a service still hands requests of its open
+            # flows to the others.
+            if view is None and self._target not in service.targets:
+                continue
+            targets = [manifest.targets[n] for n in service.targets]
+            if view is None:
+                view = View(targets, service.headroom)
+            else:
+                now = anyio.current_time()
+                view.change_targets(targets, service.headroom, now)
+            views[service.id] = view
+            self._targets.update((t.agent, t) for t in targets)
+        self._views = views
 
     def _note_members(self, vm_list: VmList) -> None:
         now = anyio.current_time()
@@ -228,7 +234,9 @@
                 self._record(target.id, Heard(), now)
         self._silent = silent
 
-    def _report(self, service_id: ServiceId, view: View, now: float) -> None:
+    def _report(
+        self, service_id: ServiceId, view: View, now: float, peers: int
+    ) -> None:
         others = [
             address
             for address, target in self._targets.items()
@@ -236,7 +244,7 @@
         ]
         reports = [_encode(report) for report in view.list_reports(now)]
         message = Loads(service_id, reports)
-        count = min(REPORT_PEERS, len(others))
+        count = min(peers, len(others))
         for address in self._rng.sample(others, count):
             self._peers.send(message, address)
 
@@ -244,10 +252,13 @@
         view = self._views.get(loads.service_id)
         if view is None:
             return
+        news = False
         for load in loads.loads:
             # Only this agent itself knows its own load.
             if load.target != self._target:
-                view.hear(_decode(load), now)
+                news = view.hear(_decode(load), now) or news
+        if news:
+            self._report(loads.service_id, view, now, PUSH_PEERS)
 
 
 def _read_exchange(exchange: Exchange) -> Evidence:
--- a/jujuberun/candidates.py
+++ b/jujuberun/candidates.py
@@ -131,11 +131,9 @@
     ) -> tuple[Address, ...]:
         """Returns homes in tables that were replaced lately, oldest first."""
         found: list[Address] = []
-        replaced = self._generations.current.since
         for version in self._generations.history(now):
-            if now - replaced > FORMER_S:
+            if now - version.replaced > FORMER_S:
                 break
-            replaced = version.since
             service = version.tables.find_service(address)
             if service is None:
                 continue
--- a/jujuberun/demo.py
+++ b/jujuberun/demo.py
@@ -140,7 +140,9 @@
     async def _load(self, group: TaskGroup) -> None:
         tls = make_client_tls(DEFAULT_NAME, self._certificate.certificate)
         async with (
-            Caller(tls, RetryBudget.from_config(), self._open_port) as caller,
+            Caller(
+                tls, RetryBudget.from_config(), open_port=self._open_port
+            ) as caller,
             anyio.create_task_group() as load,
         ):
             for service in self._manifest.services.values():
--- a/jujuberun/events.py
+++ b/jujuberun/events.py
@@ -58,6 +58,12 @@
         "A reset was sent to a caller.",
         "Compare with the resets of the agents, which have the reason.",
     ),
+    Event(
+        "balancer",
+        "received",
+        "A datagram of a caller arrived.",
+        EXPECTED,
+    ),
     Event(
         "balancer",
         "starts_refused",
--- a/jujuberun/runner.py
+++ b/jujuberun/runner.py
@@ -9,9 +9,10 @@
 from anyio.abc import TaskStatus
 
 from jujuberun.backend import SHED_STATUSES, Backend, Evidence
-from jujuberun.ids import Outcome
+from jujuberun.ids import Outcome, ServiceId
 from jujuberun.manifest import Target
 from jujuberun.offload import Grant, Offload
+from jujuberun.placement import PEERS_FIRST_S
 from jujuberun.register import First, Register, Second, Settled
 from jujuberun.request import Queue, Refuse, Run, Verdict
 from jujuberun.work import Work, WorkResult, lose, refuse
@@ -46,6 +47,18 @@
         """Returns requests refused while they were queued, with Refuse."""
 
 
+class Place(Enum):
+    """Where a request should run.
+
+    Targets outside the active set stay idle as long as peers have slots, and
+    targets that leave get no new work at all.
+    """
+
+    HERE = "here"
+    PEERS_FIRST = "peers-first"
+    PEERS_ONLY = "peers-only"
+
+
 class _State(Enum):
     WAITING = "waiting"  # in the queue of admission
     STARTED = "started"  # has a slot
@@ -83,6 +96,7 @@
         slots: requests that the target runs at the same time.
         running: requests and reservations that have a slot.
         draining: True once no peer may reserve a slot any more.
+        choose_place: returns where a request of a service should run.
     """
 
     name = "runner"
@@ -107,6 +121,9 @@
         self._waiting: dict[str, _Turn] = {}
         self._asking = 0
         self._counts = dict.fromkeys(Outcome, 0)
+        self.choose_place: Callable[[ServiceId, float], Place] = (
+            lambda service, now: Place.HERE
+        )
 
     @classmethod
     def from_config(
@@ -239,6 +256,19 @@
 
     async def _take_turn(self, turn: _Turn, now: float) -> WorkResult:
         work = turn.work
+        place = Place.HERE
+        if self._offload is not None:
+            place = self.choose_place(work.service, now)
+        if place is not Place.HERE:
+            wait = work.deadline - now
+            if place is Place.PEERS_FIRST:
+                wait = min(wait, PEERS_FIRST_S)
+            result = await self._try_peers(turn, wait)
+            if result is not None:
+                return result
+            if place is Place.PEERS_ONLY:
+                return lose("draining") if turn.lost else refuse("draining")
+            now = self._clock()
         match self._admission.admit(work, now):
             case Refuse() as refusal:
                 return _convert(refusal)
@@ -259,6 +289,33 @@
         finally:
             self._leave(turn, result)
 
+    async def _try_peers(self, turn: _Turn, wait: float) -> WorkResult | None:
+        """Hands a request on before it is admitted here.
+
+        Returns:
+            What became of it, or None when no peer had a slot in time, or the
+            request may run again.
+        """
+        reservation = None
+        with anyio.move_on_after(wait):
+            while reservation is None:
+                reservation = await self._reserve(turn.work)
+                if reservation is None:
+                    await anyio.sleep(OFFER_PAUSE_S)
+        if reservation is None:
+            return None
+        turn.begun = True
+        result = await self._offload.hand_on(reservation, turn.work)
+        match result.outcome:
+            case Outcome.NOT_RUN:
+                turn.begun = False
+                return None
+            case Outcome.UNKNOWN if turn.work.idempotent:
+                turn.lost = True
+                return None
+            case _:
+                return result
+
     async def _wait(self, turn: _Turn) -> WorkResult | None:
         """Waits for a slot; a result says that none is needed any more."""
         with anyio.move_on_after(turn.work.deadline - self._clock()):
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -9,8 +9,9 @@
 
 from jujuberun.backend import Backend, EvidenceKind
 from jujuberun.ids import Outcome
-from jujuberun.runner import Runner
+from jujuberun.runner import Place, Runner
 from jujuberun.standin_target import Behaviour, TargetStandin
+from jujuberun.work import WorkResult
 
 
 def run_with_target(act, behaviour, room=8):
@@ -109,6 +110,38 @@
 
         run_with_target(act, Behaviour(slots=1, hang=True))
 
+    def test_leaving_and_inactive_targets_hand_requests_on(self):
+        # Guards R6 on open connections, and against waking idle targets.
+        class Peer:
+            granted = True
+
+            async def reserve(self, work):
+                return object() if self.granted else None
+
+            async def hand_on(self, reservation, work):
+                return WorkResult(Outcome.ANSWERED, 200, b"peer")
+
+        async def act(runner, target, evidence):
+            peer = Peer()
+            runner.use_offload(peer)
+            for place in (Place.PEERS_FIRST, Place.PEERS_ONLY):
+                runner.choose_place = lambda service, now, place=place: place
+                peer.granted = True
+                now = time.monotonic()
+                result = await runner.execute(make_request(f"{place}"), now)
+                self.assertEqual(b"peer", result.body)
+                self.assertEqual(0, target.counts.finished)
+                peer.granted = False
+                request = make_request(f"{place}-alone", timeout=0.4)
+                result = await runner.execute(request, time.monotonic())
+                local = place is Place.PEERS_FIRST
+                wanted = Outcome.ANSWERED if local else Outcome.NOT_RUN
+                self.assertEqual(wanted, result.outcome)
+                self.assertEqual(int(local), target.counts.finished)
+                target.counts.finished = 0
+
+        run_with_target(act, Behaviour())
+
     def test_cut_answer_is_unknown(self):
         # Guards R3: a part of an answer passed on as the whole.
         async def act(runner, target, evidence):
