--- a/jujuberun/balancer.py
+++ b/jujuberun/balancer.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskStatus
 
 from jujuberun.cache import DEFAULT_CAPACITY, FlowCache
+from jujuberun.encoder import ForwardRoute
 from jujuberun.errors import WireError
 from jujuberun.generations import Generations, Version
 from jujuberun.ids import Address, Generation, ServiceId, TargetId
@@ -23,7 +24,6 @@
     MAX_PAYLOAD_BYTES,
     Answer,
     Forward,
-    ForwardRoute,
     Grant,
     Hint,
     ProbeReply,
@@ -382,7 +382,7 @@
             list(candidates),
             0,
         )
-        encoder = self._peers.codec.make_route(forward, peer.address)
+        encoder = ForwardRoute(self._peers.codec, forward, peer.address)
         return Route(listener.service.id, None, peer, encoder)
 
     def _learn_owner(
@@ -406,7 +406,7 @@
                 0,
                 owner=owner,
             )
-            encoder = self._peers.codec.make_route(forward, agent)
+            encoder = ForwardRoute(self._peers.codec, forward, agent)
             route = Route(service_id, owner, peer, encoder)
             listener.owner_routes[key] = route
         if listener.cache.find(caller) is not route:
--- a/jujuberun/beliefs.py
+++ b/jujuberun/beliefs.py
@@ -28,7 +28,7 @@
 from jujuberun.members import Members, VmList
 from jujuberun.peers import Peer, Peers, PeerState
 from jujuberun.placement import ActiveTargets, choose_owner, choose_peers
-from jujuberun.runner import Place
+from jujuberun.turn import Place
 from jujuberun.view import PUSH_PEERS, LoadReport, View
 from jujuberun.wire import Load, Loads
 
--- a/jujuberun/health.py
+++ b/jujuberun/health.py
@@ -3,7 +3,6 @@
 import math
 from collections.abc import Collection
 from dataclasses import dataclass
-from enum import Enum
 
 from jujuberun.evidence import (
     Answered,
@@ -19,9 +18,6 @@
 )
 from jujuberun.ids import TargetId, VmState
 
-PROBE_S = 0.5  # unanswered for so long: send a probe
-SUSPECT_S = 1.0  # unanswered for so long: no new flows
-GONE_S = 5.0  # unanswered for so long: its flows are reset
 RAMP_S = 30.0  # slow start of a new target
 MAX_GAP_S = 1.0  # a longer gap of the clock voids beliefs
 MAX_SUSPECT_SHARE = 1 / 3  # with more suspects, suspicion is ignored
@@ -345,56 +341,3 @@
     # for good; a refusal ends the trial.
     passed = now - belief.doubted_since
     return passed % (_HOLD_S + _TRIAL_S) < _HOLD_S
-
-
-class SilenceState(Enum):
-    """How long a peer has not answered under traffic."""
-
-    HEARD = "heard"
-    PROBE = "probe"
-    SUSPECT = "suspect"
-    GONE = "gone"
-
-
-class Silence:
-    """Tells for one peer since when it has not answered.
-
-    The packet path calls note_sent and note_heard; probes count as sent.
-    Traffic after a lull of GONE_S is judged anew, so that a peer that was
-    gone is tried again.
-    """
-
-    __slots__ = ("_since", "_sent")
-
-    def __init__(self) -> None:
-        self._since = -1.0  # first sent after last heard; negative: heard
-        self._sent = 0.0
-
-    def note_sent(self, now: float) -> None:
-        """Notes that a packet was sent to the peer."""
-        if self._since < 0.0 or now - self._sent > GONE_S:
-            self._since = now
-        self._sent = now
-
-    def note_heard(self, now: float) -> None:
-        """Notes that a packet of the peer arrived."""
-        self._since = -1.0
-
-    def forget(self) -> None:
-        """Voids the silence, after a gap of the own clock."""
-        self._since = -1.0
-
-    def judge(self, now: float) -> SilenceState:
-        """Returns the state of the peer.
-
-        Args:
-            now: seconds, monotonic.
-        """
-        if self._since < 0.0:
-            return SilenceState.HEARD
-        silent = now - self._since
-        if silent >= GONE_S:
-            return SilenceState.GONE
-        if silent >= SUSPECT_S:
-            return SilenceState.SUSPECT
-        return SilenceState.PROBE if silent >= PROBE_S else SilenceState.HEARD
--- a/jujuberun/measure_memory.py
+++ b/jujuberun/measure_memory.py
@@ -8,6 +8,7 @@
 from jujuberun.balancer import Route
 from jujuberun.cache import FlowCache
 from jujuberun.directory import Directory
+from jujuberun.encoder import ForwardRoute
 from jujuberun.ids import FlowId
 from jujuberun.measure import Options, Report, Row, Series
 from jujuberun.peers import Peer
@@ -32,7 +33,7 @@
     for index in range(7):
         peer = Peer((f"127.1.0.{index}", 7000))
         forward = Forward("s-0", 1, b"\0" * 6, [], 0, owner=f"t-{index}")
-        encoder = codec.make_route(forward, peer.address)
+        encoder = ForwardRoute(codec, forward, peer.address)
         routes.append(Route("s-0", f"t-{index}", peer, encoder))
     cache: FlowCache[Route] = FlowCache(2 * count)
     for number in range(count):
--- a/jujuberun/replay.py
+++ b/jujuberun/replay.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 
 from jujuberun.evidence import Evidence, Silent
-from jujuberun.health import SUSPECT_S
 from jujuberun.ids import DomainId, FlowId, TargetId
 from jujuberun.loads import TargetLoad
 from jujuberun.manifest import Target
+from jujuberun.peers import SUSPECT_AFTER_S
 from jujuberun.placement import PEERS_FIRST_S, choose_peers
 from jujuberun.policy import HandOn, Policy
 from jujuberun.table import Table
@@ -104,7 +104,7 @@
         candidates = self._table.find_candidates(flow)
         home = self._find_home(candidates)
         if home.lost_at is not None:
-            self._push(home.lost_at + SUSPECT_S, self._arrive, job)
+            self._push(home.lost_at + SUSPECT_AFTER_S, self._arrive, job)
             return
         home.report(self.now)
         choice = self._policy.choose(home.view, flow, candidates, self.now)
@@ -120,13 +120,16 @@
     def _find_home(self, candidates: Sequence[TargetId]) -> _Agent:
         """Returns the first candidate that balancers do not suspect."""
         for agent in map(self.agents.__getitem__, candidates):
-            if agent.lost_at is None or self.now < agent.lost_at + SUSPECT_S:
+            if (
+                agent.lost_at is None
+                or self.now < agent.lost_at + SUSPECT_AFTER_S
+            ):
                 return agent
         return next(a for a in self.agents.values() if a.lost_at is None)
 
     def _reach(self, agent: _Agent, job: _Job) -> None:
         if agent.lost_at is not None:
-            self._push(self.now + SUSPECT_S, self._miss, agent, job)
+            self._push(self.now + SUSPECT_AFTER_S, self._miss, agent, job)
             return
         agent.queue.append((job, False))
         hands_on = self._policy.hand_on is not HandOn.NONE
@@ -245,5 +248,7 @@
             agent.lost_at = self.now
             for job, from_peer in agent.queue:
                 if not from_peer and job.taken_at is None:
-                    self._push(self.now + SUSPECT_S, self._miss, agent, job)
+                    self._push(
+                        self.now + SUSPECT_AFTER_S, self._miss, agent, job
+                    )
             agent.queue.clear()
--- a/jujuberun/runner.py
+++ b/jujuberun/runner.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Callable
-from enum import Enum
 from typing import Any, Protocol
 
 import anyio
@@ -15,6 +14,7 @@
 from jujuberun.placement import PEERS_FIRST_S
 from jujuberun.register import First, Register, Second, Settled
 from jujuberun.request import Queue, Refuse, Run, Verdict
+from jujuberun.turn import Place, Turn, TurnState
 from jujuberun.work import Work, WorkResult, lose, refuse
 
 PUMP_S = 0.05  # admission may let a request go on by time alone
@@ -47,48 +47,6 @@
         """Returns requests refused while they were queued, with Refuse."""
 
 
-class Place(Enum):
-    """Where a request should run.
-
-    Targets outside the active set stay idle as long as peers have slots, and
-    targets that leave get no new work at all.
-    """
-
-    HERE = "here"
-    PEERS_FIRST = "peers-first"
-    PEERS_ONLY = "peers-only"
-
-
-class _State(Enum):
-    WAITING = "waiting"  # in the queue of admission
-    STARTED = "started"  # has a slot
-    HANDED = "handed"  # given to a peer
-    GONE = "gone"  # cancelled, expired or refused while it waited
-
-
-class _Turn:
-    """A request on its way through admission.
-
-    Attributes:
-        work: the request.
-        state: where it is.
-        go: set when the state leaves WAITING or there is a result.
-        result: the result when it does not run here.
-        begun: whether a target may have received it.
-        lost: whether a peer may have run it without a reply.
-    """
-
-    __slots__ = ("begun", "go", "lost", "result", "state", "work")
-
-    def __init__(self, work: Work) -> None:
-        self.work = work
-        self.state = _State.WAITING
-        self.go = anyio.Event()
-        self.result: WorkResult | None = None
-        self.begun = False
-        self.lost = False
-
-
 class Runner:
     """The part "runner" of an agent.
 
@@ -118,7 +76,7 @@
         self._offload = offload
         self._register = register or Register()
         self._clock = clock
-        self._waiting: dict[str, _Turn] = {}
+        self._waiting: dict[str, Turn] = {}
         self._asking = 0
         self._counts = dict.fromkeys(Outcome, 0)
         self.choose_place: Callable[[ServiceId, float], Place] = (
@@ -188,7 +146,7 @@
         Returns:
             What became of it; NOT_RUN only when no target has received it.
         """
-        turn = _Turn(work)
+        turn = Turn(work)
         return await self._claim(turn, now, lambda: self._take_turn(turn, now))
 
     def hold(self, placeholder: Work, now: float) -> bool:
@@ -219,7 +177,7 @@
         self, work: Work, placeholder: Work, now: float
     ) -> WorkResult:
         """Runs a peer's request in the slot of its placeholder."""
-        turn = _Turn(work)
+        turn = Turn(work)
         result = None
         try:
             result = await self._claim(turn, now, lambda: self._call(turn))
@@ -228,7 +186,7 @@
             self._free(placeholder, self._clock(), result)
 
     async def _claim(
-        self, turn: _Turn, now: float, act: Callable[[], Any]
+        self, turn: Turn, now: float, act: Callable[[], Any]
     ) -> WorkResult:
         match self._register.claim(turn.work, now):
             case Settled(result):
@@ -254,7 +212,7 @@
             await entry.done.wait()
         return entry.result or lose("deadline")
 
-    async def _take_turn(self, turn: _Turn, now: float) -> WorkResult:
+    async def _take_turn(self, turn: Turn, now: float) -> WorkResult:
         work = turn.work
         place = Place.HERE
         if self._offload is not None:
@@ -278,7 +236,7 @@
                 self._waiting[work.id] = turn
         result = None
         try:
-            if turn.state is _State.WAITING:
+            if turn.state is TurnState.WAITING:
                 result = await self._wait(turn)
             if result is None:
                 result = await self._call(turn)
@@ -289,7 +247,7 @@
         finally:
             self._leave(turn, result)
 
-    async def _try_peers(self, turn: _Turn, wait: float) -> WorkResult | None:
+    async def _try_peers(self, turn: Turn, wait: float) -> WorkResult | None:
         """Hands a request on before it is admitted here.
 
         Returns:
@@ -316,7 +274,7 @@
             case _:
                 return result
 
-    async def _wait(self, turn: _Turn) -> WorkResult | None:
+    async def _wait(self, turn: Turn) -> WorkResult | None:
         """Waits for a slot; a result says that none is needed any more."""
         with anyio.move_on_after(turn.work.deadline - self._clock()):
             if self._offload is None:
@@ -329,29 +287,29 @@
         if turn.result is not None:
             return turn.result
         match turn.state:
-            case _State.STARTED:
+            case TurnState.STARTED:
                 return None
-            case _State.HANDED:
+            case TurnState.HANDED:
                 return lose("deadline")
             case _:
-                turn.state = _State.GONE
+                turn.state = TurnState.GONE
                 return refuse("deadline")
 
-    async def _offer(self, turn: _Turn) -> None:
+    async def _offer(self, turn: Turn) -> None:
         """Hands the request to a peer unless a slot here is free first."""
         offers = 0
-        while turn.state is _State.WAITING and offers < MAX_OFFERS:
+        while turn.state is TurnState.WAITING and offers < MAX_OFFERS:
             reservation = await self._reserve(turn.work)
             if reservation is None:
                 await anyio.sleep(OFFER_PAUSE_S)
                 continue
             self._pump()
-            if turn.state is not _State.WAITING:
+            if turn.state is not TurnState.WAITING:
                 self._offload.release(reservation)
                 return
             offers += 1
             self._admission.cancel(turn.work, self._clock())
-            turn.state = _State.HANDED
+            turn.state = TurnState.HANDED
             turn.begun = True
             result = await self._offload.hand_on(reservation, turn.work)
             if not self._resume(turn, result):
@@ -367,7 +325,7 @@
         finally:
             self._asking -= 1
 
-    def _resume(self, turn: _Turn, result: WorkResult) -> bool:
+    def _resume(self, turn: Turn, result: WorkResult) -> bool:
         """Returns whether the request waits here again after a peer's reply."""
         work = turn.work
         match result.outcome:
@@ -382,23 +340,23 @@
         decision = self._admission.admit(work, self._clock())
         if isinstance(decision, Refuse):
             return False
-        turn.state = _State.WAITING
+        turn.state = TurnState.WAITING
         if isinstance(decision, Run):
             self._start(turn)
         return True
 
-    async def _call(self, turn: _Turn) -> WorkResult:
+    async def _call(self, turn: Turn) -> WorkResult:
         remaining = turn.work.deadline - self._clock()
         if remaining <= 0:
             return refuse("deadline")
         turn.begun = True
         return await self._backend.call(turn.work, remaining)
 
-    def _leave(self, turn: _Turn, result: WorkResult | None) -> None:
+    def _leave(self, turn: Turn, result: WorkResult | None) -> None:
         work, state, now = turn.work, turn.state, self._clock()
         self._waiting.pop(work.id, None)
-        turn.state = _State.GONE
-        if state is _State.STARTED:
+        turn.state = TurnState.GONE
+        if state is TurnState.STARTED:
             self._free(work, now, result)
             return
         # Also when the deadline has passed: admission may not know yet.
@@ -414,8 +372,8 @@
         self._admission.finish(holder, now, result.outcome, shed)
         self._pump()
 
-    def _start(self, turn: _Turn) -> None:
-        turn.state = _State.STARTED
+    def _start(self, turn: Turn) -> None:
+        turn.state = TurnState.STARTED
         self.running += 1
         turn.go.set()
 
@@ -424,15 +382,15 @@
         now = self._clock()
         while (request := self._admission.take_next(now)) is not None:
             turn = self._waiting.get(request.id)
-            if turn is None or turn.state is not _State.WAITING:
+            if turn is None or turn.state is not TurnState.WAITING:
                 self._admission.finish(request, now, Outcome.NOT_RUN)
                 continue
             self._start(turn)
         for request, refusal in self._admission.take_refused(now):
             turn = self._waiting.get(request.id)
-            if turn is None or turn.state is not _State.WAITING:
+            if turn is None or turn.state is not TurnState.WAITING:
                 continue
-            turn.state = _State.GONE
+            turn.state = TurnState.GONE
             turn.result = _convert(refusal)
             turn.go.set()
 
--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -215,11 +215,12 @@
 
     Attributes:
         incarnation: random number that names this run of the process.
+        signer: signs and verifies with the keys.
     """
 
     def __init__(self, signer: Signer, incarnation: int | None = None) -> None:
         self.incarnation = incarnation or secrets.randbits(62) + 1
-        self._signer = signer
+        self.signer = signer
         self._counters: dict[Any, Counter] = {}
         self._windows: dict[int, ReplayWindow] = {}
 
@@ -249,7 +250,7 @@
             raise WireError(
                 "seal message", str(receiver), f"{len(body)} bytes are too many"
             )
-        return self._signer.sign(body) + body
+        return self.signer.sign(body) + body
 
     def encode_body(self, message: Any, receiver: Any, now_ms: int) -> bytes:
         """Encodes an envelope without its MAC."""
@@ -266,17 +267,6 @@
             counter = self._counters[receiver] = Counter()
         return counter
 
-    def make_route(self, forward: Any, receiver: Any) -> "ForwardRoute":
-        """Returns an encoder of packets with the fields of a Forward.
-
-        Args:
-            forward: Forward without caller and payload.
-            receiver: key of the receiver, usually its address.
-        """
-        return ForwardRoute(
-            self._signer, self.incarnation, self.find_counter(receiver), forward
-        )
-
     def open(
         self, datagram: bytes, now_ms: int, limit: int = MAX_DATAGRAM_BYTES
     ) -> Result[Any, str]:
@@ -296,7 +286,7 @@
         if len(datagram) > limit:
             return Err("oversized")
         mac, body = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
-        if not self._signer.verify(mac, body):
+        if not self.signer.verify(mac, body):
             return Err("mac")
         try:
             envelope = decode(Envelope, body)
@@ -341,69 +331,3 @@
 
 def _find_field(message: Any) -> str:
     return _FIELDS[type(message)]
-
-
-# Field headers of the binary protocol: type, then id.
-_SENDER = b"\x0a\x00\x01"
-_SEQUENCE = b"\x0a\x00\x02"
-_SENT = b"\x0a\x00\x03"
-_FORWARD = b"\x0c\x00\x0a"
-_CALLER = b"\x0b\x00\x09\x00\x00\x00\x06"  # with the length
-_PAYLOAD = b"\x0b\x00\x0a"
-_STOPS = b"\x00\x00"  # of the Forward and of the envelope
-
-
-class ForwardRoute:
-    """Encoder of Forward messages to one receiver with a fixed header.
-
-    The library encodes the header once; each packet only adds sequence,
-    time, caller and payload. A full encode of each packet costs as much as
-    receiving and sending it.
-    """
-
-    __slots__ = (
-        "_counter",
-        "_header",
-        "_middle",
-        "_now_ms",
-        "_pack",
-        "_sender",
-        "_sign",
-    )
-
-    def __init__(
-        self, signer: Signer, sender: int, counter: Counter, forward: Any
-    ) -> None:
-        self._sign = signer.sign
-        self._sender = _SENDER + sender.to_bytes(8, "big") + _SEQUENCE
-        self._counter = counter
-        self._header = _FORWARD + encode(forward)[:-1] + _CALLER
-        self._now_ms = -1
-        self._middle = b""
-        size = len(_SENT) + 8 + len(self._header)
-        layout = f">{len(self._sender)}sQ{size}s6s{len(_PAYLOAD)}si"
-        self._pack = struct.Struct(layout).pack
-
-    def seal(self, caller: bytes, payload: bytes, now_ms: int) -> bytes:
-        """Returns a sealed Forward of one packet.
-
-        Args:
-            caller: packed address of the caller, 6 bytes.
-            payload: the caller's datagram.
-            now_ms: wall clock in milliseconds.
-        """
-        if now_ms != self._now_ms:
-            self._now_ms = now_ms
-            self._middle = _SENT + now_ms.to_bytes(8, "big") + self._header
-        counter = self._counter
-        counter.value = sequence = counter.value + 1
-        head = self._pack(
-            self._sender,
-            sequence,
-            self._middle,
-            caller,
-            _PAYLOAD,
-            len(payload),
-        )
-        body = head + payload + _STOPS
-        return self._sign(body) + body
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -16,7 +16,7 @@
     Started,
     WasReset,
 )
-from jujuberun.health import MAX_BELIEFS, Health, Silence, SilenceState
+from jujuberun.health import MAX_BELIEFS, Health
 from jujuberun.ids import TargetId, VmState
 
 NAMES = frozenset(TargetId(f"t{index}") for index in range(7))
@@ -245,42 +245,3 @@
         self.assertTrue(heard[0])
         self.assertFalse(any(heard[12:]))
         self.assertEqual(frozenset(), other.find_suspects(NAMES, 30.0))
-
-
-class SilenceTest(TestCase):
-    @EXACT
-    @given(st.lists(st.tuples(st.booleans(), st.integers(0, 30))))
-    def test_as_naive_log(self, events):
-        # Differential against a log of all packets, with lulls below 5 s.
-        silence, unanswered, now = Silence(), [], 0.0
-        for sent, passed in events:
-            now += passed / 10
-            if sent:
-                silence.note_sent(now)
-                unanswered.append(now)
-            else:
-                silence.note_heard(now)
-                unanswered.clear()
-            silent = now - unanswered[0] if unanswered else 0.0
-            bounds = (
-                (5.0, SilenceState.GONE),
-                (1.0, SilenceState.SUSPECT),
-                (0.5, SilenceState.PROBE),
-                (0.0, SilenceState.HEARD),
-            )
-            expected = next(state for at, state in bounds if silent >= at)
-            self.assertEqual(expected, silence.judge(now))
-
-    def test_lull_is_not_silence(self):
-        # Guards against a peer that is gone at the first packet after a lull.
-        silence = Silence()
-        silence.note_sent(0.0)
-        silence.note_sent(100.0)
-        self.assertEqual(SilenceState.HEARD, silence.judge(100.1))
-
-    def test_forget_after_a_pause(self):
-        # Guards against peers that are gone after a pause of this process.
-        silence = Silence()
-        silence.note_sent(0.0)
-        silence.forget()
-        self.assertEqual(SilenceState.HEARD, silence.judge(600.0))
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -9,8 +9,9 @@
 
 from jujuberun.backend import Backend, EvidenceKind
 from jujuberun.ids import Outcome
-from jujuberun.runner import Place, Runner
+from jujuberun.runner import Runner
 from jujuberun.standin_target import Behaviour, TargetStandin
+from jujuberun.turn import Place
 from jujuberun.work import WorkResult
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 from testtools.matchers import LessThan
 
+from jujuberun.encoder import ForwardRoute
 from jujuberun.wire import (
     FRESH_MS,
     MAX_DATAGRAM_BYTES,
@@ -201,7 +202,7 @@
         # write; several packets, so that nothing of one stays in the next.
         codec = make_codec(incarnation=incarnation)
         plain = make_codec(incarnation=incarnation)
-        route = codec.make_route(forward, "receiver")
+        route = ForwardRoute(codec, forward, "receiver")
         for caller, payload, now in packets:
             forward.caller, forward.payload = caller, payload
             self.assertEqual(
@@ -213,7 +214,7 @@
         # Guards against two messages of one number, one of which is refused.
         sender, receiver = make_codec(), make_codec()
         forward = Forward("s", 1, bytes(6), [], 0)
-        routes = [sender.make_route(forward, "x") for _ in range(2)]
+        routes = [ForwardRoute(sender, forward, "x") for _ in range(2)]
         for route in routes * 2:
             datagram = route.seal(bytes(6), bytes(MAX_PAYLOAD_BYTES), NOW)
             self.assertTrue(receiver.open(datagram, NOW).is_ok())
