--- a/jujuberun/offload.py
+++ b/jujuberun/offload.py
@@ -27,7 +27,10 @@
 )
 
 RESERVATION_S = 0.2  # a slot held longer than this costs more than it saves
-REPLY_TIMEOUT_S = 0.1
+# An inquiry waits at the peers for so long: asking again and again instead
+# gave a 99th percentile wait 1.5 times as long at 80% load, 1.9 at 95%.
+REPLY_TIMEOUT_S = 0.2
+MAX_WAITING = 64  # inquiries of peers that wait for a slot here
 PEERS = 2  # peers that are asked at the same time
 MAX_TOKENS = 20_000  # reservations that are remembered after their end
 EXPIRE_PERIOD_S = 0.02
@@ -52,10 +55,12 @@
     Attributes:
         running: requests and reservations that have a slot.
         queued: requests that wait for a slot.
+        draining: True once no peer may reserve a slot any more.
     """
 
     running: int
     queued: int
+    draining: bool
 
     def hold(self, placeholder: Work, now: float) -> bool:
         """Holds an idle slot."""
@@ -110,6 +115,15 @@
     expires: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """An inquiry of a peer that waits for a slot here."""
+
+    message: Any
+    address: Address
+    expires: float
+
+
 class Offload:
     """The part "offload" of an agent: both ends of handing on.
 
@@ -148,6 +162,7 @@
         self._clock = clock
         self._inquiries: dict[int, _Inquiry] = {}
         self._held: OrderedDict[int, _Held] = OrderedDict()
+        self._waiting: OrderedDict[int, _Waiting] = OrderedDict()
         self._running: dict[int, anyio.CancelScope] = {}
         # Tokens whose reservation ended: whether a Run may have arrived.
         self._ended: OrderedDict[int, bool] = OrderedDict()
@@ -168,6 +183,7 @@
             "held": len(self._held),
             "running": len(self._running),
             "inquiries": len(self._inquiries),
+            "waiting": len(self._waiting),
             **self._counts,
         }
 
@@ -266,6 +282,34 @@
         granted = token in self._held
         if not granted and token not in self._ended:
             granted = self._hold(message, now)
+            if not granted and self._let_wait(message, address, now):
+                return
+        self._reply(token, granted, address)
+
+    def grant_waiting(self, now: float) -> None:
+        """Gives idle slots to inquiries that wait, the oldest first."""
+        for token, waiting in list(self._waiting.items()):
+            if now < waiting.expires:
+                if not self._hold(waiting.message, now):
+                    return
+                self._reply(token, True, waiting.address)
+            else:
+                self._end(token, False)
+            del self._waiting[token]
+
+    def _let_wait(self, message: Any, address: Address, now: float) -> bool:
+        """Returns whether the inquiry waits here for a slot."""
+        if message.token in self._waiting:
+            return True
+        service = self._find_service(ServiceId(message.service_id))
+        full = len(self._waiting) >= MAX_WAITING
+        if service is None or full or self._host.draining:
+            return False
+        expires = now + REPLY_TIMEOUT_S
+        self._waiting[message.token] = _Waiting(message, address, expires)
+        return True
+
+    def _reply(self, token: int, granted: bool, address: Address) -> None:
         busy, queued = self._host.running, self._host.queued
         self._send(ReserveReply(token, granted, busy, queued), address)
 
@@ -275,6 +319,9 @@
         if scope is not None:
             scope.cancel()
             return
+        if self._waiting.pop(message.token, None) is not None:
+            self._end(message.token, False)
+            return
         held = self._held.pop(message.token, None)
         if held is not None:
             self._host.release(held.placeholder, now)
@@ -321,6 +368,7 @@
 
     def expire(self, now: float) -> None:
         """Frees the slots whose reservation is over."""
+        self.grant_waiting(now)
         while self._held:
             token, held = next(iter(self._held.items()))
             if now < held.expires:
--- a/jujuberun/runner.py
+++ b/jujuberun/runner.py
@@ -371,6 +371,8 @@
         self.running -= 1
         self._admission.finish(holder, now, result.outcome, shed)
         self._pump()
+        if self._offload is not None:
+            self._offload.grant_waiting(now)
 
     def _start(self, turn: Turn) -> None:
         turn.state = TurnState.STARTED
--- a/tests/test_offload.py
+++ b/tests/test_offload.py
@@ -19,7 +19,7 @@
 
 from jujuberun.errors import LinkError
 from jujuberun.ids import Outcome
-from jujuberun.offload import RESERVATION_S, Offload
+from jujuberun.offload import REPLY_TIMEOUT_S, RESERVATION_S, Offload
 from jujuberun.register import Entry, First, Register
 from jujuberun.runner import Runner
 from jujuberun.wire import Cancel, Reserve, ReserveReply
@@ -453,3 +453,44 @@
             world.deliver_run(receiver, message)
             self.assertEqual({"unknown"}, world.replies[message.token])
             self.assertEqual(1, world.begun["second"])
+
+
+class WaitingTest(TestCase):
+    def test_inquiry_waits_for_a_slot(self):
+        # Guards against waits near those of separate queues: an inquiry that
+        # is denied at once must find an idle slot by luck later.
+        class Host:
+            running, queued, draining, idle = 2, 0, False, False
+
+            def hold(self, placeholder, now):
+                return self.idle
+
+            def release(self, placeholder, now):
+                pass
+
+        host, sent = Host(), []
+        offload = Offload(
+            host,
+            None,
+            lambda message, address: sent.append(message),
+            lambda service, now: (),
+            lambda name: SERVICE,
+        )
+        for token in (1, 2, 3):
+            message = Reserve(token, SERVICE.id, 200)
+            offload.handle_reserve(message, ("127.0.0.1", 1), 0.0)
+        offload.handle_cancel(Cancel(2), 0.01)
+        offload.grant_waiting(0.02)
+        self.assertEqual([], sent)
+        host.idle = True
+        offload.grant_waiting(0.05)
+        self.assertEqual(
+            [(1, True), (3, True)], [(m.token, m.granted) for m in sent]
+        )
+        host.idle = False
+        offload.handle_reserve(
+            Reserve(4, SERVICE.id, 200), ("127.0.0.1", 1), 0.1
+        )
+        host.idle = True
+        offload.grant_waiting(0.1 + REPLY_TIMEOUT_S)
+        self.assertEqual(2, len(sent))
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -116,6 +116,9 @@
         class Peer:
             granted = True
 
+            def grant_waiting(self, now):
+                pass
+
             async def reserve(self, work):
                 return object() if self.granted else None
 
