--- a/jujuberun/standin_certificate.py
+++ b/jujuberun/standin_certificate.py
@@ -1,5 +1,6 @@
 """Self-signed certificates for tests, measurements and the demo."""
 
+import argparse
 import datetime
 from dataclasses import dataclass
 from pathlib import Path
@@ -70,3 +71,21 @@
             serialization.NoEncryption(),
         ),
     )
+
+
+def main() -> None:
+    """Writes a certificate and its key into a directory."""
+    parser = argparse.ArgumentParser(
+        prog="python -m jujuberun.standin_certificate",
+        description="Make a self-signed certificate for trials.",
+    )
+    parser.add_argument("directory", type=Path, help="takes both PEM files")
+    parser.add_argument("--name", default=DEFAULT_NAME, help="DNS name")
+    options = parser.parse_args()
+    options.directory.mkdir(parents=True, exist_ok=True)
+    for path in make_certificate(options.name).write(options.directory):
+        print(path)
+
+
+if __name__ == "__main__":
+    main()
