--- a/jujuberun/measure.py
+++ b/jujuberun/measure.py
@@ -94,4 +94,5 @@
     "memory": "jujuberun.measure_memory:measure",
     "requests": "jujuberun.measure_requests:measure",
     "shares": "jujuberun.measure_shares:measure",
+    "messages": "jujuberun.measure_messages:measure",
 }
--- a/jujuberun/measure_control.py
+++ b/jujuberun/measure_control.py
@@ -81,18 +81,29 @@
         tuple(notes),
         tuple(_make_series(costs)),
         "processes",
-        "B/s, percent of a core, seconds",
+        "percent of the limit",
     )
 
 
 def _make_series(costs: list[Cost]) -> list[Series]:
+    """Returns shares of the limits, so that one axis fits all three."""
     sizes = tuple(float(cost.size) for cost in costs)
+    quantities = (
+        (f"bytes/s, of {MAX_BYTES_PER_S:g}", "bytes_per_s", MAX_BYTES_PER_S),
+        (f"CPU, of {MAX_CPU_SHARE:g}% of a core", "cpu_share", MAX_CPU_SHARE),
+        (
+            f"manifest in force on one core, of {MAX_IN_FORCE_S:g} s",
+            "manifest_s",
+            MAX_IN_FORCE_S,
+        ),
+    )
     return [
-        Series("bytes/s", sizes, tuple(c.bytes_per_s for c in costs)),
-        Series("CPU percent", sizes, tuple(c.cpu_share for c in costs)),
         Series(
-            "manifest in force s", sizes, tuple(c.manifest_s for c in costs)
-        ),
+            label,
+            sizes,
+            tuple(100 * getattr(cost, field) / limit for cost in costs),
+        )
+        for label, field, limit in quantities
     ]
 
 
--- a/jujuberun/measure_flood.py
+++ b/jujuberun/measure_flood.py
@@ -16,7 +16,7 @@
 )
 from jujuberun.fifo import FifoGate
 from jujuberun.ids import ServiceId
-from jujuberun.measure import Options, Report, Row
+from jujuberun.measure import Options, Report, Row, Series
 from jujuberun.overload import Attempt, build_replay
 from jujuberun.trace import (
     PHASES,
@@ -34,6 +34,8 @@
 WARM_UP_S = 5.0
 EXTRA_TRACES = 2  # further draws of the same workloads, in a full run
 BALANCER_LOAD = 0.5  # of the packet budget, while all is quiet
+PLOTTED = "montreal"  # deployment of the plot
+PLOT_STEP_S = 1
 QUICK_SPANS = ((25.0, 51.0), (60.0, 65.0))
 
 
@@ -61,6 +63,7 @@
 def measure(options: Options) -> Report:
     """Floods both deployments, the less urgent service first."""
     rows: list[Row] = []
+    series: list[Series] = []
     for name in WORKLOADS:
         traces = [load_trace(name)]
         if options.quick:
@@ -76,6 +79,8 @@
         naive = _replay_all(name, floods, FifoGate, options.seed)
         rows += _compare(f"{name}, shared targets", name, ours, naive)
         rows += _compare_urgency(f"{name}, shared targets", name, ours, naive)
+        if name == PLOTTED:
+            series = _make_series(name, ours, naive)
         options.progress(f"flood: {name}, balancers")
         parts = spray(floods[0], options.seed)
         budget = PACKETS * compute_budget(name)
@@ -89,7 +94,37 @@
         "Balancers: scaled to the trace, quiet load half of their budget.",
         "A quick run has too few requests to judge waits; a full one does.",
     )
-    return Report("flood", options.seed, tuple(rows), notes)
+    return Report(
+        "flood",
+        options.seed,
+        tuple(rows),
+        notes,
+        tuple(series),
+        f"time in s; floods from {PHASES[1].start:g} s on",
+        "% of the arriving work done in time",
+    )
+
+
+def _make_series(
+    name: str, ours: list[Sample], naive: list[Sample]
+) -> list[Series]:
+    """Returns the useful share of each service's work over time."""
+    series = []
+    for load in WORKLOADS[name]:
+        for label, samples in (("ours", ours), ("naive", naive)):
+            times, shares = [], []
+            for start in range(0, int(PHASES[-1].end), PLOT_STEP_S):
+                arrived = _select(
+                    samples, load.service, start, start + PLOT_STEP_S
+                )
+                if not arrived:
+                    continue
+                times.append(float(start))
+                shares.append(100.0 * _find_useful(arrived))
+            series.append(
+                Series(f"{load.service}, {label}", tuple(times), tuple(shares))
+            )
+    return series
 
 
 def _drop_verdict(row: Row) -> Row:
--- a/jujuberun/measure_memory.py
+++ b/jujuberun/measure_memory.py
@@ -1,20 +1,29 @@
-"""Measures the memory of a balancer's flow cache and an agent's directory."""
+"""Measures the memory of flows at balancers and agents."""
 
+import importlib
 import multiprocessing
 import os
+import tempfile
+import time
 from collections.abc import Callable
 from pathlib import Path
 
+from aioquic.h3.connection import H3Connection
+from aioquic.quic.connection import QuicConnection
+
 from jujuberun.balancer import Route
 from jujuberun.cache import FlowCache
 from jujuberun.directory import Directory
 from jujuberun.ids import FlowId
 from jujuberun.measure import Options, Report, Row, Series
 from jujuberun.peers import Peer
+from jujuberun.quic import PATH, load_server_tls, make_client_tls
+from jujuberun.standin_certificate import make_certificate
 from jujuberun.wire import Codec, Forward, Signer, make_flow_id, pack_address
 
 SIZES = (50_000, 100_000, 200_000, 300_000)
 DIRECTORY_SIZES = (5_000, 10_000, 20_000, 40_000)
+CONNECTION_SIZES = (50, 100, 200, 400)
 LIMIT_BYTES = 128 * 1_000_000
 _MIB = 1_000_000
 
@@ -60,6 +69,39 @@
     return directory
 
 
+def fill_connections(count: int) -> object:
+    """Returns the agent's ends of open QUIC connections without requests."""
+    certificate = make_certificate()
+    client_tls = make_client_tls(certificate.name, certificate.certificate)
+    with tempfile.TemporaryDirectory() as name:
+        server_tls = load_server_tls(*certificate.write(Path(name)))
+    kept = []
+    for _ in range(count):
+        caller = QuicConnection(configuration=client_tls)
+        caller.connect(PATH, time.monotonic())
+        packets = _take_packets(caller)
+        agent = QuicConnection(
+            configuration=server_tls,
+            # Bytes 6 to 13 of an Initial packet hold its destination id.
+            original_destination_connection_id=packets[0][6:14],
+        )
+        http = H3Connection(agent)
+        receiver, sender = agent, caller
+        while packets:
+            for packet in packets:
+                receiver.receive_datagram(packet, PATH, time.monotonic())
+            packets = _take_packets(receiver)
+            receiver, sender = sender, receiver
+        kept.append((agent, http))
+    return kept
+
+
+def _take_packets(connection: QuicConnection) -> list[bytes]:
+    while connection.next_event() is not None:
+        pass
+    return [d for d, _ in connection.datagrams_to_send(time.monotonic())]
+
+
 def _make_caller(number: int) -> tuple[str, int]:
     host = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
     return host, 10_000 + number % 50_000
@@ -93,6 +135,24 @@
     return growth
 
 
+def _report_daemon(sender: object) -> None:
+    importlib.import_module("jujuberun.daemon")
+    sender.send(read_memory())
+    sender.close()
+
+
+def measure_daemon() -> int:
+    """Returns the resident bytes of a process that imported the daemon."""
+    context = multiprocessing.get_context("spawn")
+    receiver, sender = context.Pipe(duplex=False)
+    process = context.Process(target=_report_daemon, args=(sender,))
+    process.start()
+    sender.close()
+    memory = receiver.recv()
+    process.join()
+    return memory
+
+
 def fit_line(x: list[float], y: list[float]) -> tuple[float, float, float]:
     """Fits a line by least squares.
 
@@ -112,11 +172,14 @@
 
 
 def measure(options: Options) -> Report:
-    """Measures bytes per cached flow and per directory entry."""
+    """Measures bytes per cached flow, directory entry and connection."""
     rows, notes, series = [], [], []
+    daemon = measure_daemon() / _MIB
+    rows.append(Row("process that imported the daemon", daemon, None, "MB"))
     for name, fill, sizes in (
         ("balancer's cached flow", fill_cache, SIZES),
         ("agent's directory entry", fill_directory, DIRECTORY_SIZES),
+        ("agent's QUIC connection", fill_connections, CONNECTION_SIZES),
     ):
         if options.quick:
             sizes = tuple(size // 10 for size in sizes)
--- a/tests/test_measure_flood.py
+++ b/tests/test_measure_flood.py
@@ -39,6 +39,12 @@
             if "shared" in row.name and "over quiet" in row.name:
                 self.assertTrue(row.met, row)
 
+    def test_series_cover_both_services(self):
+        # Guards against a plot that leaves a service or a phase out.
+        self.assertEqual(4, len(self.report.series))
+        for series in self.report.series:
+            self.assertEqual((0.0, 89.0), (series.x[0], series.x[-1]))
+
     def test_phases_name_the_flooded_service(self):
         # Guards against a measurement that calls other work the flood.
         self.assertIsNone(find_flooded("montreal", 10.0))
