Measure answers and uncached flows on the forwarding path

With sprayed packets a balancer's cache holds only part of the flows, and each answer passes a balancer too; both paths cost more than a cached packet.

--- a/jujuberun/measure_forwarding.py
+++ b/jujuberun/measure_forwarding.py
@@ -97,7 +97,8 @@
         spent = 0.0
         for _ in range(PACKETS // BATCH_PACKETS):
             self.fill()
-            self.peers.find(self.sink.address).note_heard(0.0)
+            for peer in self.peers.list_peers():
+                peer.note_heard(0.0)
             begun = time.perf_counter()
             batch = self.listener.port.drain()
             now_ms = time.time_ns() // 1_000_000
@@ -108,6 +109,37 @@
             self.empty_sink()
         return spent
 
+    def run_misses(self) -> float:
+        """Returns seconds for packets of flows that are not cached.
+
+        They go to agents that are not there, so nothing receives them.
+        """
+        self.listener.cache.clear()
+        return self.run_ours()
+
+    def run_answers(self) -> float:
+        """Returns seconds to receive PACKETS answers and send them on."""
+        spent = 0.0
+        codec = Codec(Signer([b"k" * 16]))
+        for _ in range(PACKETS // BATCH_PACKETS):
+            now_ms = time.time_ns() // 1_000_000
+            for sock in self.rng.sample(self.callers, BATCH_PACKETS):
+                answer = Answer(
+                    "s-0",
+                    self.listener.packed,
+                    "t-0",
+                    pack_address(sock.getsockname()),
+                    self.payload,
+                )
+                data = codec.seal(answer, self.peers.address, now_ms)
+                self.sink.send(data, self.peers.address)
+            begun = time.perf_counter()
+            now = time.monotonic()
+            for datagram, sender in self.peers.port.drain():
+                self.peers.accept(datagram, sender, now, now_ms)
+            spent += time.perf_counter() - begun
+        return spent
+
     def run_bare(self) -> float:
         """Returns seconds to receive and send the same without a balancer."""
         spent = 0.0
@@ -138,7 +170,7 @@
 def measure(options: Options) -> Report:
     """Compares packets per second, and look-ups at four sizes."""
     bench = Bench(options.seed)
-    ours, bare = [], []
+    ours, bare, answers, misses = [], [], [], []
     try:
         bench.learn_owners()
         bench.empty_sink()
@@ -146,11 +178,17 @@
             options.progress(f"round {number + 1}")
             ours.append(PACKETS / bench.run_ours())
             bare.append(PACKETS / bench.run_bare())
+            answers.append(PACKETS / bench.run_answers())
+        for _ in ours:
+            misses.append(PACKETS / bench.run_misses())
     finally:
         bench.close()
     mine, naive = statistics.median(ours), statistics.median(bare)
     met = mine >= _BOUND * naive
     rows = [Row("forwarding", mine, naive, "packets/s", "ratio >= 0.5", met)]
+    for name, rates in (("answers", answers), ("flows not cached", misses)):
+        median = statistics.median(rates)
+        rows.append(Row(f"forwarding, {name}", median, naive, "packets/s"))
     times = {n: measure_lookup(n, bench.rng) for n in TARGET_COUNTS}
     for count, seconds in times.items():
         rows.append(
