--- a/jujuberun/balancer.py
+++ b/jujuberun/balancer.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from jujuberun.cache import DEFAULT_CAPACITY, FlowCache
+from jujuberun.cache import AGE_S, DEFAULT_CAPACITY, CacheBudget, FlowCache
 from jujuberun.encoder import ForwardRoute
 from jujuberun.errors import WireError
 from jujuberun.generations import Generations, Version
@@ -72,14 +72,14 @@
         port: Port,
         service: Service,
         version: Version,
-        cache_flows: int = DEFAULT_CAPACITY,
+        budget: CacheBudget,
     ) -> None:
         self.port = port
         self.address = service.address
         self.packed = pack_address(service.address)
         self.service = service
         self.version = version  # the last one with this service
-        self.cache: FlowCache[Route] = FlowCache(cache_flows)
+        self.cache: FlowCache[Route] = FlowCache(budget)
         self.owner_routes: dict[tuple[str, str, Address], Route] = {}
         self.home_routes: dict[tuple[str, ...], Route] = {}
         self.used = 0.0
@@ -107,7 +107,8 @@
         self._open_port = open_port
         self._local_addresses = local_addresses
         self._limits = limits
-        self._cache_flows = cache_flows
+        self._budget = CacheBudget(cache_flows)
+        self._aged = 0.0
         self._version: Version | None = None
         self._listeners: dict[bytes, Listener] = {}
         self._changed = anyio.Event()
@@ -290,7 +291,7 @@
                 )
                 self.counts["bind_failed"] += 1
                 continue
-            listener = Listener(port, service, version, self._cache_flows)
+            listener = Listener(port, service, version, self._budget)
             listener.used = now
             self.add_listener(listener)
             group.start_soon(self._serve, listener)
@@ -321,10 +322,13 @@
         while True:
             await anyio.sleep(MAINTAIN_S)
             now = anyio.current_time()
+            if now - self._aged >= AGE_S:
+                self._aged = now
+                self._budget.age()
             for packed, listener in list(self._listeners.items()):
-                listener.cache.rotate(now)
                 if listener.retired and now - listener.used > RETIRED_S:
                     del self._listeners[packed]
+                    self._budget.remove(listener.cache)
                     if listener.scope is not None:
                         listener.scope.cancel()
 
