--- a/jujuberun/balancer.py
+++ b/jujuberun/balancer.py
@@ -9,21 +9,20 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from jujuberun.cache import AGE_S, DEFAULT_CAPACITY, CacheBudget, FlowCache
-from jujuberun.encoder import ForwardRoute
+from jujuberun.cache import AGE_S, DEFAULT_CAPACITY, CacheBudget
 from jujuberun.errors import WireError
 from jujuberun.generations import Generations, Version
-from jujuberun.ids import Address, Generation, ServiceId, TargetId
+from jujuberun.ids import Address, TargetId
 from jujuberun.kernel import Kernel
 from jujuberun.limits import StartLimits
-from jujuberun.manifest import Service, format_address
-from jujuberun.peers import Peer, Peers
+from jujuberun.listener import Listener, Route
+from jujuberun.manifest import format_address
+from jujuberun.peers import Peers
 from jujuberun.port import BATCH_PACKETS, Port, SocketPort
 from jujuberun.settings import Settings
 from jujuberun.wire import (
     MAX_PAYLOAD_BYTES,
     Answer,
-    Forward,
     Grant,
     Hint,
     ProbeReply,
@@ -41,52 +40,9 @@
 BACKLOG_PACKETS = 4
 OTHERS_S = 1.0
 RETIRED_S = 120.0  # a removed address without packets closes after this
-_MAX_HOME_ROUTES = 20_000
 logger = logging.getLogger("jujuberun.balancer")
 
 
-class Route:
-    """Where packets of some flows go, with the encoder of their messages."""
-
-    __slots__ = ("_encoder", "owner", "peer", "seal", "service_id")
-
-    def __init__(
-        self,
-        service_id: ServiceId,
-        owner: TargetId | None,
-        peer: Peer,
-        encoder: ForwardRoute,
-    ) -> None:
-        self.service_id = service_id
-        self.owner = owner
-        self.peer = peer
-        self._encoder = encoder
-        self.seal = encoder.seal
-
-
-class Listener:
-    """The socket of one service address and the routes of its flows."""
-
-    def __init__(
-        self,
-        port: Port,
-        service: Service,
-        version: Version,
-        budget: CacheBudget,
-    ) -> None:
-        self.port = port
-        self.address = service.address
-        self.packed = pack_address(service.address)
-        self.service = service
-        self.version = version  # the last one with this service
-        self.cache: FlowCache[Route] = FlowCache(budget)
-        self.owner_routes: dict[tuple[str, str, Address], Route] = {}
-        self.home_routes: dict[tuple[str, ...], Route] = {}
-        self.used = 0.0
-        self.retired = False
-        self.scope: anyio.CancelScope | None = None
-
-
 class Balancer:
     """Part "balancer": one task for each service address."""
 
@@ -275,9 +231,7 @@
         for packed, service in wanted.items():
             listener = self._listeners.get(packed)
             if listener is not None:
-                listener.service = service
-                listener.version = version
-                listener.home_routes.clear()
+                listener.change_service(service, version)
                 continue
             local = self._local_addresses.get(service.address, service.address)
             try:
@@ -352,14 +306,7 @@
         tables = listener.version.tables
         candidates = tables.find_candidates(service, flow)
         home = self._choose_home(listener, candidates, now)
-        key = (home, *candidates)
-        route = listener.home_routes.get(key)
-        if route is None:
-            if len(listener.home_routes) >= _MAX_HOME_ROUTES:
-                listener.home_routes.clear()
-            route = self._make_home_route(listener, home, candidates)
-            listener.home_routes[key] = route
-        return route
+        return listener.find_home_route(self._peers, home, candidates)
 
     def _choose_home(
         self, listener: Listener, candidates: tuple[TargetId, ...], now: float
@@ -371,51 +318,6 @@
                 return name
         return candidates[0]
 
-    def _make_home_route(
-        self,
-        listener: Listener,
-        home: TargetId,
-        candidates: tuple[TargetId, ...],
-    ) -> Route:
-        manifest = listener.version.manifest
-        peer = self._peers.find(manifest.targets[home].agent)
-        forward = Forward(
-            listener.service.id,
-            manifest.generation,
-            listener.packed,
-            list(candidates),
-            0,
-        )
-        encoder = ForwardRoute(self._peers.codec, forward, peer.address)
-        return Route(listener.service.id, None, peer, encoder)
-
-    def _learn_owner(
-        self,
-        listener: Listener,
-        service_id: ServiceId,
-        caller: Address,
-        owner: TargetId,
-        agent: Address,
-    ) -> None:
-        """Caches who owns the flow of a caller."""
-        key = (service_id, owner, agent)
-        route = listener.owner_routes.get(key)
-        if route is None:
-            peer = self._peers.find(agent)
-            forward = Forward(
-                service_id,
-                Generation(0),
-                listener.packed,
-                [],
-                0,
-                owner=owner,
-            )
-            encoder = ForwardRoute(self._peers.codec, forward, agent)
-            route = Route(service_id, owner, peer, encoder)
-            listener.owner_routes[key] = route
-        if listener.cache.find(caller) is not route:
-            listener.cache.store(caller, route)
-
     def add_listener(self, listener: Listener) -> None:
         """Adds the listener of a service address."""
         self._listeners[listener.packed] = listener
@@ -429,8 +331,8 @@
         caller = unpack_address(answer.caller)
         if not listener.port.send(answer.payload, caller):
             self.counts["answers_unsent"] += 1
-        self._learn_owner(
-            listener, answer.service_id, caller, answer.owner, sender
+        listener.learn_owner(
+            self._peers, answer.service_id, caller, answer.owner, sender
         )
 
     def _handle_hint(self, hint: Any, sender: Address, now: float) -> None:
@@ -439,7 +341,9 @@
             return
         agent = unpack_address(hint.owner_agent)
         caller = unpack_address(hint.caller)
-        self._learn_owner(listener, hint.service_id, caller, hint.owner, agent)
+        listener.learn_owner(
+            self._peers, hint.service_id, caller, hint.owner, agent
+        )
 
     def _handle_grant(self, grant: Any, sender: Address, now: float) -> None:
         service = self._version.manifest.services.get(grant.service_id)
--- a/jujuberun/measure_forwarding.py
+++ b/jujuberun/measure_forwarding.py
@@ -5,11 +5,12 @@
 import statistics
 import time
 
-from jujuberun.balancer import Balancer, Listener
+from jujuberun.balancer import Balancer
 from jujuberun.cache import CacheBudget
 from jujuberun.generations import Generations
 from jujuberun.ids import FlowId
 from jujuberun.limits import StartLimits
+from jujuberun.listener import Listener
 from jujuberun.manifest import dump_manifest
 from jujuberun.measure import Options, Report, Row
 from jujuberun.peers import Peers
--- a/jujuberun/measure_memory.py
+++ b/jujuberun/measure_memory.py
@@ -11,11 +11,11 @@
 from aioquic.h3.connection import H3Connection
 from aioquic.quic.connection import QuicConnection
 
-from jujuberun.balancer import Route
 from jujuberun.cache import CacheBudget, FlowCache
 from jujuberun.directory import Directory
 from jujuberun.encoder import ForwardRoute
 from jujuberun.ids import FlowId
+from jujuberun.listener import Route
 from jujuberun.measure import Options, Report, Row, Series
 from jujuberun.peers import Peer
 from jujuberun.quic import PATH, load_server_tls, make_client_tls
