Add an in-memory network of real daemons in virtual time

Balancers and agents run unchanged over ports with seeded loss, copies, delay, cuts and pauses; manifests are offered to each process apart.

--- /dev/null
+++ b/tests/daemons.py
@@ -0,0 +1,184 @@
+"""Real balancers and agents, and callers, on the in-memory network."""
+
+import dataclasses
+import random
+
+import anyio
+import trio
+from network import Network
+
+from jujuberun.agent import Agent
+from jujuberun.balancer import Balancer
+from jujuberun.beliefs import Beliefs
+from jujuberun.flows import DatagramFlow
+from jujuberun.generations import Generations
+from jujuberun.ids import Generation, Role, VmId, VmState
+from jujuberun.limits import StartLimits
+from jujuberun.loads import TargetLoad
+from jujuberun.manifest import dump_manifest
+from jujuberun.members import Members, Vm, VmList, dump_vm_list
+from jujuberun.peers import Peers
+from jujuberun.wire import Codec, Signer, parse_reset
+
+IDLE_S = 300.0
+
+
+class Process:
+    """One daemon without Spread and Link: manifests are offered to it."""
+
+    def __init__(self, net, name, address, target=None):
+        self.name = name
+        self.generations = Generations()
+        self.members = Members(VmId(name))
+        port = net.open(name, address)
+        net.processes[name] = self
+        net.hosts[address] = name
+        net.runs += 1
+        self.peers = Peers(port, Codec(Signer((b"k" * 16,)), net.runs))
+        self.parts = [self.peers]
+        if target is None:
+            limits = StartLimits.from_config(random.Random(1))
+            self.part = Balancer(
+                self.peers,
+                self.generations,
+                lambda local: net.open(name, local),
+                {},
+                limits,
+            )
+        else:
+            beliefs = Beliefs(
+                target,
+                self.peers,
+                self.generations,
+                self.members,
+                random.Random(net.runs),
+            )
+
+            def open_flow(service, entry, send):
+                net.opened.append((anyio.current_time(), target, service.id))
+                net.flow_ports += 1
+                own = ("flow", net.flow_ports)
+                port = net.open(name, own)
+                return DatagramFlow(service, entry.address, port, send, IDLE_S)
+
+            self.part = Agent(
+                target, self.peers, self.generations, beliefs, open_flow
+            )
+            beliefs.read_load = lambda: TargetLoad(
+                0, 0, self.part.count_flows()
+            )
+            beliefs.is_draining = lambda: self.part.draining
+            self.parts.append(beliefs)
+        self.parts.append(self.part)
+        self.scope = anyio.CancelScope()
+
+    async def run(self, task_status):
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                for part in self.parts:
+                    await group.start(part.run)
+                task_status.started()
+
+    def offer(self, manifest):
+        now = anyio.current_time()
+        self.generations.offer(dump_manifest(manifest), "platform", now)
+
+
+class Caller:
+    """A flow of a caller: its packets, what answered them, and resets."""
+
+    def __init__(self, net, number, address):
+        self.net, self.address = net, address
+        self.id = number.to_bytes(8, "big")
+        self.source = (f"198.51.{number >> 8}.{number & 255}", 4000)
+        self.sequence = 0
+        self.answers = []  # time, first byte, sequence, target
+        self.resets = []  # time, reason
+        net.callers[self.source] = self
+
+    def send(self, kind=b"D", balancer=None):
+        self.sequence += 1
+        data = kind + self.id + self.sequence.to_bytes(4, "big")
+        self.net.spray(self, data, balancer)
+
+    def take(self, data, sender):
+        now = anyio.current_time()
+        reset = parse_reset(data)
+        if reset is not None:
+            self.resets.append((now, reset.reason))
+            return
+        sequence = int.from_bytes(data[9:13], "big")
+        self.answers.append((now, data[:1], sequence, data[13:].decode()))
+
+    @property
+    def owners(self):
+        """Targets that answered as owner, and those that did not know it."""
+        return {(kind == b"L", name) for _, kind, _, name in self.answers}
+
+    def is_heard(self, since):
+        """Returns whether an answer or a reset came since a time."""
+        return any(entry[0] >= since for entry in self.answers + self.resets)
+
+
+class Fleet(Network):
+    """A network with the daemons of a manifest."""
+
+    async def start(self, manifest, balancers=3):
+        """Starts balancers and the agents of all targets, and settles."""
+        for number in range(balancers):
+            await self.start_balancer(number, manifest)
+        for target in manifest.targets:
+            await self.start_agent(target, manifest)
+        await anyio.sleep(3.5)
+
+    async def start_balancer(self, number, manifest):
+        address = (f"127.3.0.{number + 1}", 7000)
+        process = Process(self, f"entry-{number}", address)
+        process.offer(manifest)
+        await self.group.start(process.run)
+
+    async def start_agent(self, target, manifest):
+        entry = manifest.targets[target]
+        self.echoes.setdefault(entry.address, (target, {}))
+        process = Process(self, target, entry.agent, target)
+        process.offer(manifest)
+        await self.group.start(process.run)
+
+    async def spread(self, manifest, longest=2.5):
+        """Offers a manifest to each process at a random time."""
+        order = [
+            (self.rng.random() * longest, n) for n in sorted(self.processes)
+        ]
+        begun = anyio.current_time()
+        for delay, name in sorted(order):
+            await trio.sleep_until(begun + delay)
+            if name in self.processes:
+                self.processes[name].offer(manifest)
+
+    def leave(self, target):
+        """Tells the agent of a target by the VM list that it is leaving."""
+        process = self.processes[target]
+        vm = Vm(
+            VmId(target),
+            Role.AGENT,
+            process.peers.address,
+            "dorval-a",
+            VmState.LEAVING,
+        )
+        data = dump_vm_list(VmList(1, {vm.id: vm}))
+        process.members.offer(data, "platform", anyio.current_time())
+        process.part.refuse_new_flows()
+
+
+def change(manifest, **targets):
+    """Returns the next generation with other targets of some services."""
+    services = dict(manifest.services)
+    for name, chosen in targets.items():
+        name = name.replace("_", "-")
+        services[name] = dataclasses.replace(
+            services[name], targets=tuple(chosen)
+        )
+    generation = Generation(manifest.generation + 1)
+    return dataclasses.replace(
+        manifest, generation=generation, services=services
+    )
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,151 @@
+"""In-memory datagram network, on a virtual clock."""
+
+import heapq
+import random
+from types import SimpleNamespace
+from unittest import mock
+
+import anyio
+import trio
+from trio.testing import MockClock
+
+from jujuberun.standin_echo import answer
+
+
+def run_virtual(main):
+    """Runs a test with monotonic and wall clock virtual; returns its result."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(1)
+    options = {"clock": MockClock(autojump_threshold=0)}
+    wall = SimpleNamespace(
+        time_ns=lambda: int((1e6 + anyio.current_time()) * 1e9)
+    )
+    with mock.patch("jujuberun.wire.time", wall):
+        return anyio.run(main, backend="trio", backend_options=options)
+
+
+class MemoryPort:
+    """A Port; packets for or from a paused process wait in held."""
+
+    def __init__(self, net, process, address):
+        self.net, self.process, self.address = net, process, address
+        self.inbox = []
+        self.wake = anyio.Event()
+
+    async def receive(self):
+        while not self.inbox or self.process in self.net.held:
+            self.wake = anyio.Event()
+            await self.wake.wait()
+        batch, self.inbox = self.inbox[:64], self.inbox[64:]
+        return batch
+
+    def take(self, data, sender):
+        self.inbox.append((data, sender))
+        self.wake.set()
+
+    def send(self, data, address):
+        if self.net.ports.get((self.process, self.address)) is self:
+            self.net.send(self, data, address)
+        return True
+
+    def send_batch(self, batch):
+        for data, address in batch:
+            self.send(data, address)
+
+    def close(self):
+        self.net.ports.pop((self.process, self.address), None)
+
+
+class Network:
+    """Carries datagrams with seeded loss, copies, delay, cuts and pauses."""
+
+    def __init__(self, group, seed=1, loss=0.0, copies=0.0, jitter=0.0):
+        self.group, self.rng = group, random.Random(seed)
+        self.loss, self.copies, self.jitter = loss, copies, jitter
+        self.ports, self.hosts, self.processes = {}, {}, {}
+        self.callers, self.sources, self.echoes = {}, {}, {}
+        self.held, self.opened, self.delivered = {}, [], []
+        self.is_cut = lambda sender, receiver: False
+        self.runs = self.flow_ports = self.count = 0
+        self.queue, self.wake = [], anyio.Event()
+        group.start_soon(self._run)
+
+    def open(self, process, address):
+        port = MemoryPort(self, process, address)
+        self.ports[process, address] = port
+        return port
+
+    def send(self, port, data, address):
+        if port.process in self.held:
+            self.held[port.process].append((port, data, address))
+        elif address in self.callers:
+            self._carry(self.callers[address].take, data, port.address)
+        elif address in self.echoes:
+            self._echo(port, data, address)
+        elif address in self.hosts:
+            name = self.hosts[address]
+            if not self.is_cut(port.process, name):
+                self._carry((name, address), data, port.address)
+
+    def spray(self, caller, data, balancer=None):
+        live = [n for n in self.processes if n.startswith("entry")]
+        name = balancer or self.rng.choice(live)
+        self._carry((name, caller.address), data, caller.source)
+
+    def push(self, caller, data):
+        """Sends a datagram of the target, without one of the caller."""
+        for take, name in self.sources[caller.id]:
+            take(data + name, None)
+
+    def _echo(self, port, data, address):
+        name, state = self.echoes[address]
+        source = (port.process, port.address)
+        self.delivered.append((anyio.current_time(), data[:1], data[1:9], name))
+        reply = answer(state, name.encode(), data, source)
+        if data[:1] == b"S":
+            entry = (port.take, name.encode())
+            self.sources.setdefault(data[1:9], []).append(entry)
+        port.take(reply, address)
+
+    def _carry(self, receiver, data, sender):
+        for _ in range(1 + (self.rng.random() < self.copies)):
+            if self.rng.random() < self.loss:
+                continue
+            at = anyio.current_time() + 0.001
+            at += self.rng.random() * self.jitter
+            self.count += 1
+            item = (at, self.count, receiver, data, sender)
+            heapq.heappush(self.queue, item)
+        self.wake.set()
+
+    async def _run(self):
+        while True:
+            self.wake = anyio.Event()
+            due = self.queue[0][0] if self.queue else float("inf")
+            with anyio.CancelScope(deadline=due):
+                await self.wake.wait()
+            while self.queue and self.queue[0][0] <= anyio.current_time():
+                _, _, receiver, data, sender = heapq.heappop(self.queue)
+                if isinstance(receiver, tuple):
+                    port = self.ports.get(receiver)
+                    receiver = port.take if port else None
+                if receiver is not None:
+                    receiver(data, sender)
+
+    def kill(self, name):
+        """Ends a process without a word."""
+        for key in [key for key in self.ports if key[0] == name]:
+            del self.ports[key]
+        self.processes.pop(name).scope.cancel()
+
+    async def pause(self, name, seconds):
+        """Holds all packets of a process, as a real pause does."""
+        self.held[name] = []
+        await anyio.sleep(seconds)
+        held = self.held.pop(name)
+        self.processes[name].peers.note_pause(anyio.current_time())
+        for port, data, address in held:
+            port.send(data, address)
+        for key, port in self.ports.items():
+            if key[0] == name:
+                port.wake.set()
