--- a/jujuberun/agent.py
+++ b/jujuberun/agent.py
@@ -16,7 +16,7 @@
 from jujuberun.ids import Address, FlowId, Protocol, ServiceId, TargetId
 from jujuberun.manifest import Service, Target
 from jujuberun.ownership import UNSETTLED_S, Ownership, Packet
-from jujuberun.peers import Peers
+from jujuberun.peers import Peer, Peers
 from jujuberun.registrar import Record, Registrar
 from jujuberun.shares import PERIOD_S, StartShares
 from jujuberun.wire import (
@@ -85,6 +85,7 @@
         self._registrar = Registrar(target, peers, self._ownership.views)
         peers.register(Forward, self._handle_forward)
         peers.subscribe_restarts(self._registrar.note_restart)
+        peers.subscribe_returns(self._note_return)
         peers.subscribe_pauses(self._note_pause)
 
     def count_flows(self) -> int:
@@ -385,6 +386,12 @@
         self._ownership.unsettle(now)
         self._registrar.refresh()
 
+    def _note_return(self, peer: Peer, now: float) -> None:
+        # A home behind a partition missed registrations, or another home took
+        # them in its place; without them two owners would keep a flow.
+        self._registrar.note_restart(peer, now)
+        self._homes_changed.set()
+
     def _note_version(self, version: Version) -> None:
         self._homes_changed.set()
 
--- a/jujuberun/peers.py
+++ b/jujuberun/peers.py
@@ -127,6 +127,7 @@
         self._handlers: dict[type, Handler] = {}
         self._peers: dict[Address, Peer] = {}
         self._on_restart: list[Callable[[Peer, float], None]] = []
+        self._on_return: list[Callable[[Peer, float], None]] = []
         self._on_pause: list[Callable[[float], None]] = []
         self.register(Probe, self._handle_probe)
         self.register(ProbeReply, self._handle_probe_reply)
@@ -141,6 +142,12 @@
         """Calls the listener when a peer shows a new incarnation."""
         self._on_restart.append(listener)
 
+    def subscribe_returns(
+        self, listener: Callable[[Peer, float], None]
+    ) -> None:
+        """Calls the listener when a suspected peer is heard again."""
+        self._on_return.append(listener)
+
     def subscribe_pauses(self, listener: Callable[[float], None]) -> None:
         """Calls the listener when this process was paused."""
         self._on_pause.append(listener)
@@ -279,7 +286,11 @@
         self, address: Address, incarnation: int, now: float
     ) -> None:
         peer = self.find(address)
+        returned = peer.is_suspected(now)
         peer.note_heard(now)
+        if returned:
+            for listener in self._on_return:
+                listener(peer, now)
         if peer.incarnation == incarnation:
             return
         restarted = peer.incarnation != 0
--- a/jujuberun/registrar.py
+++ b/jujuberun/registrar.py
@@ -89,7 +89,7 @@
         self._due.update(dict.fromkeys(self._records))
 
     def note_restart(self, peer: Peer, now: float) -> None:
-        """Registers again the flows that a restarted agent kept."""
+        """Registers again the flows whose home restarted or was cut off."""
         for record in self._records.values():
             if peer.address in record.homes:
                 self._due[record.flow] = None
--- a/tests/network.py
+++ b/tests/network.py
@@ -70,6 +70,10 @@
         self.queue, self.wake = [], anyio.Event()
         group.start_soon(self._run)
 
+    @property
+    def now(self):
+        return anyio.current_time()
+
     def open(self, process, address):
         port = MemoryPort(self, process, address)
         self.ports[process, address] = port
