--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -5,7 +5,7 @@
 
 import anyio
 import trio
-from network import Network
+from network import Network, run_virtual
 
 from jujuberun.agent import Agent
 from jujuberun.balancer import Balancer
@@ -182,3 +182,40 @@
     return dataclasses.replace(
         manifest, generation=generation, services=services
     )
+
+
+class Scene:
+    """A started fleet with callers."""
+
+    def __init__(self, group, **network):
+        self.net = Fleet(group, **network)
+
+    async def start(self, manifest, count=0, service="s-0", first=0):
+        if not self.net.processes:
+            await self.net.start(manifest)
+        address = manifest.services[service].address
+        callers = [
+            Caller(self.net, first + i, address) for i in range(1, count + 1)
+        ]
+        for caller in callers:
+            caller.send(b"S")
+        await anyio.sleep(1)
+        return callers
+
+    async def talk(self, callers, seconds, step=0.5):
+        """Sends a packet of each flow every step."""
+        for _ in range(int(seconds / step)):
+            for caller in callers:
+                caller.send()
+            await anyio.sleep(step)
+
+
+def play(test, **network):
+    """Runs a coroutine function of a Scene in virtual time."""
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            await test(Scene(group, **network))
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
