--- a/tests/network.py
+++ b/tests/network.py
@@ -32,11 +32,11 @@
         self.inbox = []
         self.wake = anyio.Event()
 
-    async def receive(self):
+    async def receive(self, limit=64):
         while not self.inbox or self.process in self.net.held:
             self.wake = anyio.Event()
             await self.wake.wait()
-        batch, self.inbox = self.inbox[:64], self.inbox[64:]
+        batch, self.inbox = self.inbox[:limit], self.inbox[limit:]
         return batch
 
     def take(self, data, sender):
