Take an assignment from the agent that the flow was granted to

Cause: home A grants a flow to claimant B, B chooses A as owner and hands the start packet over, and A, whose entry still names B, sends it back; both entries then point at each other, each copy of the start ends at the hop limit, and the flow is reset. Found by tests/test_faults.py, the manifest arriving unevenly twice: hops 2, dropped_young 1, 11 resets at one agent. Ruled out: crossing claims, which the generation and rank decide. After: the case passes, with the eight other faults twice in a row.

--- a/jujuberun/ownership.py
+++ b/jujuberun/ownership.py
@@ -167,11 +167,21 @@
         if entry is not None and entry.owner == self._target:
             self.directory.release(packet.flow, self._target)
             entry = None
+        if entry is not None and self._is_assigned_by(packet, entry):
+            # The claimant that this agent granted the flow to chose this
+            # agent as owner; sending the packet back would never end.
+            self.directory.release(packet.flow, entry.owner)
+            entry = None
         if entry is not None:
             self._hand_to_owner(packet, view, entry, now)
             return
         self._route(packet, view, now)
 
+    def _is_assigned_by(self, packet: Packet, entry: Entry) -> bool:
+        forward = packet.forward
+        assigned = forward.hops > 0 and forward.owner == self._target
+        return assigned and packet.sender == entry.agent
+
     def _route(self, packet: Packet, view: View, now: float) -> None:
         """Handles a packet of a flow that nobody is known to own."""
         forward = packet.forward
