Hold packets that may have overtaken the start of their flow

Cause: a settled home reset a packet of an unknown flow at once, but packets of one flow are sprayed, so data can arrive before its start packet; the new flow was then reset.

Also splits packet and replies from ownership and agent, and takes the types of admission and link in place of copies of their interfaces.

--- a/jujuberun/agent.py
+++ b/jujuberun/agent.py
@@ -15,20 +15,19 @@
 from jujuberun.generations import Generations, Version
 from jujuberun.ids import Address, FlowId, Protocol, ServiceId, TargetId
 from jujuberun.manifest import Service, Target
-from jujuberun.ownership import UNSETTLED_S, Ownership, Packet
+from jujuberun.ownership import UNSETTLED_S, Ownership
+from jujuberun.packet import Packet
 from jujuberun.peers import Peer, Peers
 from jujuberun.registrar import Record, Registrar
+from jujuberun.replies import Replies
 from jujuberun.shares import PERIOD_S, StartShares
 from jujuberun.wire import (
     Answer,
     Forward,
     Grant,
-    Hint,
     ProbeReply,
-    Reset,
     make_flow_id,
     pack_address,
-    quote,
     read_wall_clock,
     unpack_address,
 )
@@ -75,12 +74,12 @@
         self._open_flow = open_flow
         self._shares = StartShares.from_config()
         self._flows: dict[FlowId, Owned] = {}
-        self._balancers: dict[Address, float] = {}
+        self._replies = Replies(peers, self.counts)
         self._group: TaskGroup | None = None
         self._homes_changed = anyio.Event()
         self._ended = anyio.Event()
         self._ownership = Ownership(
-            self, target, peers, generations, self.counts
+            self, target, peers, generations, self._replies, self.counts
         )
         self._registrar = Registrar(target, peers, self._ownership.views)
         peers.register(Forward, self._handle_forward)
@@ -196,14 +195,14 @@
         if len(forward.caller) != 6 or len(forward.address) != 6:
             self.counts["malformed"] += 1
             return
-        self._balancers[balancer] = now
+        self._replies.note_heard(balancer, now)
         flow = make_flow_id(forward.address, forward.caller)
         self._ownership.place(Packet(flow, forward, sender, balancer), now)
 
     def create(self, packet: Packet, service: Service, now: float) -> None:
         """Creates the flow of a start packet and delivers the packet."""
         if not self.has_room():
-            self.reset(packet, "overloaded", 1000)
+            self._replies.reset(packet, "overloaded", 1000)
             return
         target = self._generations.current.manifest.targets[self.target]
         forward = packet.forward
@@ -216,7 +215,7 @@
             flow = self._open_flow(service, target, send)
         except OSError as error:
             logger.error("agent: Flow not opened: %s.", error.strerror)
-            self.reset(packet, "overloaded", 1000)
+            self._replies.reset(packet, "overloaded", 1000)
             return
         owned = Owned(
             packet.flow,
@@ -264,13 +263,14 @@
             return False
         forward = packet.forward
         service = owned.flow.service
+        own = self._peers.address
         if forward.service_id != service.id:
             if service.first_packet.accepts(forward.payload):
                 self._refuse_other_service(owned, packet, now)
                 return True
-            self.hint(packet, service.id, self.target, self._peers.address)
+            self._replies.hint(packet, service.id, self.target, own)
         elif forward.owner != self.target or forward.hops > 0:
-            self.hint(packet, service.id, self.target, self._peers.address)
+            self._replies.hint(packet, service.id, self.target, own)
         owned.balancer = packet.balancer
         owned.heard = now
         owned.flow.deliver(forward.payload, now)
@@ -288,11 +288,11 @@
         if now - owned.heard < UNSETTLED_S:
             return
         owned.scope.cancel()
-        self.reset(packet, "moved", 100)
+        self._replies.reset(packet, "moved", 100)
 
     def _answer(self, owned: Owned, payload: bytes) -> None:
         now = anyio.current_time()
-        balancer = self._choose_balancer(owned.balancer, now)
+        balancer = self._replies.choose_balancer(owned.balancer, now)
         message = Answer(
             owned.flow.service.id,
             owned.address,
@@ -302,51 +302,6 @@
         )
         self._peers.send(message, balancer, now)
 
-    def _choose_balancer(self, last: Address, now: float) -> Address:
-        """Returns the flow's last balancer, or another if that one is gone."""
-        peer = self._peers.find(last)
-        if not peer.draining and not peer.is_suspected(now):
-            return last
-        best, heard = last, 0.0
-        for address, when in self._balancers.items():
-            other = self._peers.find(address)
-            if other.draining or other.is_suspected(now):
-                continue
-            if when > heard:
-                best, heard = address, when
-        return best
-
-    def hint(
-        self, packet: Packet, service_id: str, owner: str, agent: Address
-    ) -> None:
-        """Tells the balancer of a packet who owns its flow."""
-        message = Hint(
-            service_id,
-            packet.forward.address,
-            packet.forward.caller,
-            owner,
-            pack_address(agent),
-        )
-        self._peers.send(message, packet.balancer)
-
-    def reset(self, packet: Packet, reason: str, retry_after: int) -> None:
-        """Answers the caller of a packet with an explicit reset.
-
-        Args:
-            packet: the packet that is refused.
-            reason: short word for the caller.
-            retry_after: milliseconds.
-        """
-        self.counts[f"reset_{reason}"] += 1
-        message = Reset(
-            packet.forward.address,
-            packet.forward.caller,
-            reason,
-            retry_after,
-            quote(packet.forward.payload),
-        )
-        self._peers.send(message, packet.balancer)
-
     def owns(self, flow: FlowId) -> bool:
         """Returns whether this agent owns the flow."""
         return flow in self._flows
--- a/jujuberun/offload.py
+++ b/jujuberun/offload.py
@@ -13,6 +13,7 @@
 
 from jujuberun.errors import LinkError
 from jujuberun.ids import Address, RequestId, ServiceId
+from jujuberun.link import Link
 from jujuberun.manifest import Service
 from jujuberun.wire import Cancel, Reserve, ReserveReply
 from jujuberun.work import (
@@ -38,17 +39,6 @@
 _log = logging.getLogger(__name__)
 
 
-class Link(Protocol):
-    """Framed Thrift over TCP between peers; see module link."""
-
-    async def call(self, address: Address, message: Any, timeout: float) -> Any:
-        """Sends a message once and returns the reply.
-
-        Raises:
-            LinkError: there is no reply; the peer may have the message.
-        """
-
-
 class Host(Protocol):
     """What offload needs of the runner to serve its peers.
 
@@ -201,7 +191,7 @@
             return None
         asked = {secrets.randbits(62): address for address in peers}
         inquiry = _Inquiry(dict(asked))
-        wait = round(RESERVATION_S * 1000)
+        wait = round(REPLY_TIMEOUT_S * 1000)
         try:
             for token, address in asked.items():
                 self._inquiries[token] = inquiry
--- a/jujuberun/ownership.py
+++ b/jujuberun/ownership.py
@@ -1,8 +1,7 @@
 """Ownership: finds the owner of any packet's flow, or creates the flow."""
 
 from collections import Counter
-from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
@@ -10,10 +9,12 @@
 from jujuberun.candidates import View, Views
 from jujuberun.claims import Claims
 from jujuberun.directory import Directory, Entry, Verdict
+from jujuberun.early import QUEUE_PACKETS, EarlyPackets
 from jujuberun.generations import Generations
-from jujuberun.ids import Address, FlowId, ServiceId, TargetId
-from jujuberun.manifest import Service
+from jujuberun.ids import Address, FlowId, TargetId
+from jujuberun.packet import Host, Packet, Resolution
 from jujuberun.peers import Peers, PeerState
+from jujuberun.replies import Replies
 from jujuberun.wire import (
     Claim,
     ClaimReply,
@@ -29,70 +30,9 @@
 MAX_HOPS = 4
 UNSETTLED_S = 3.0  # after a start or a pause, others may know more
 YOUNG_MS = 3000  # a start packet may still be on its way to the owner
-QUEUE_PACKETS = 16  # of one flow, while its owner is sought
 _MAX_PENDING = 10_000  # flows whose owner is sought
 
 
-@dataclass(slots=True)
-class Packet:
-    """A packet on its way through this agent.
-
-    Attributes:
-        flow: its flow id.
-        forward: the message that carries it.
-        sender: daemon that sent the message.
-        balancer: balancer that received it from the caller.
-    """
-
-    flow: FlowId
-    forward: Any
-    sender: Address
-    balancer: Address
-
-
-@dataclass(slots=True)
-class Resolution:
-    """Packets of a flow that wait while its owner is sought."""
-
-    claim: Any
-    packets: list[Packet]
-
-
-class Host(Protocol):
-    """What the agent does for its ownership logic."""
-
-    def owns(self, flow: FlowId) -> bool:
-        """Returns whether this agent owns the flow."""
-
-    def find_service_id(self, flow: FlowId) -> ServiceId | None:
-        """Returns the service of an owned flow, or None."""
-
-    def has_room(self) -> bool:
-        """Returns whether this agent takes new flows."""
-
-    def choose_owner(
-        self, view: View, passed: tuple[str, ...], now: float
-    ) -> TargetId | None:
-        """Returns the owner of a new flow, or None when nobody has room."""
-
-    def create(self, packet: Packet, service: Service, now: float) -> None:
-        """Creates the flow of a start packet and delivers the packet."""
-
-    def deliver(self, packet: Packet, now: float) -> bool:
-        """Delivers a packet of an owned flow; False when it is not owned."""
-
-    def release(self, flow: FlowId) -> None:
-        """Gives up an owned flow that another agent owns too."""
-
-    def reset(self, packet: Packet, reason: str, retry_after: int) -> None:
-        """Answers the caller of a packet with an explicit reset."""
-
-    def hint(
-        self, packet: Packet, service_id: str, owner: str, agent: Address
-    ) -> None:
-        """Tells the balancer of a packet who owns its flow."""
-
-
 class Ownership:
     """Keeps the directory and routes packets of flows not owned here."""
 
@@ -102,6 +42,7 @@
         target: TargetId,
         peers: Peers,
         generations: Generations,
+        replies: Replies,
         counts: Counter[str],
     ) -> None:
         self.directory = Directory()
@@ -110,9 +51,11 @@
         self._target = target
         self._peers = peers
         self._generations = generations
+        self._replies = replies
         self._counts = counts
         self._claims = Claims(peers)
         self._pending: dict[FlowId, Resolution] = {}
+        self._early = EarlyPackets(self.place)
         self._unsettled_until = 0.0
         self._group: TaskGroup | None = None
         peers.register(Claim, self._handle_claim)
@@ -155,13 +98,15 @@
             if len(resolution.packets) < QUEUE_PACKETS:
                 resolution.packets.append(packet)
             return
+        if self._early.add(packet):
+            return
         view = self.views.build(
             packet.forward, packet.flow, self._peers.address, now
         )
         if view is None:
             self._counts["no_service"] += 1
             if self._generations.current is not None:
-                self._host.reset(packet, "no-service", 1000)
+                self._replies.reset(packet, "no-service", 1000)
             return
         entry = self.directory.find(packet.flow, now)
         if entry is not None and entry.owner == self._target:
@@ -198,7 +143,7 @@
             self._hand_on(packet, view, agent, None, now)
             return
         if self._target not in view.candidates:
-            self._host.reset(packet, "no-owner", 1000)
+            self._replies.reset(packet, "no-owner", 1000)
             return
         authorities = self._find_authorities(view, now)
         if authorities:
@@ -225,7 +170,7 @@
         self, packet: Packet, view: View, authorities: tuple[Address, ...]
     ) -> None:
         if len(self._pending) >= _MAX_PENDING:
-            self._host.reset(packet, "overloaded", 1000)
+            self._replies.reset(packet, "overloaded", 1000)
             return
         starts = view.service.first_packet.accepts(packet.forward.payload)
         rank = view.candidates.index(self._target)
@@ -292,14 +237,16 @@
             if self.is_unsettled(now):
                 self._counts["dropped_unsettled"] += 1
                 return
-            self._host.reset(packet, "unknown-flow", 0)
+            rule = view.service.first_packet
+            if not self._early.hold(packet, rule, self._group):
+                self._replies.reset(packet, "unknown-flow", 0)
             return
         if view.retired or forward.service_id != view.service.id:
-            self._host.reset(packet, "moved", 100)
+            self._replies.reset(packet, "moved", 100)
             return
         owner = self._host.choose_owner(view, tuple(forward.passed or ()), now)
         if owner is None:
-            self._host.reset(packet, "overloaded", 1000)
+            self._replies.reset(packet, "overloaded", 1000)
             return
         if owner == self._target:
             self._host.create(packet, view.service, now)
@@ -347,11 +294,13 @@
                 self._counts["dropped_young"] += 1
                 return
             self.directory.release(packet.flow, entry.owner)
-            self._host.reset(packet, "unknown-flow", 0)
+            self._replies.reset(packet, "unknown-flow", 0)
             return
         self._hand_on(packet, view, entry.agent, entry.owner, now, entry)
         if not starts and entry.service_id is not None:
-            self._host.hint(packet, entry.service_id, entry.owner, entry.agent)
+            self._replies.hint(
+                packet, entry.service_id, entry.owner, entry.agent
+            )
 
     def _hand_on(
         self,
@@ -367,7 +316,7 @@
         if forward.hops >= MAX_HOPS:
             self._counts["hops"] += 1
             if owner is None:
-                self._host.reset(packet, "no-owner", 1000)
+                self._replies.reset(packet, "no-owner", 1000)
             return
         service_id = forward.service_id
         if entry is not None and entry.service_id is not None:
--- a/jujuberun/runner.py
+++ b/jujuberun/runner.py
@@ -2,18 +2,19 @@
 
 import time
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import anyio
 from anyio.abc import TaskStatus
 
+from jujuberun.admission import Admission
 from jujuberun.backend import SHED_STATUSES, Backend, Evidence
 from jujuberun.ids import Outcome, ServiceId
 from jujuberun.manifest import Target
 from jujuberun.offload import Grant, Offload
 from jujuberun.placement import PEERS_FIRST_S
 from jujuberun.register import First, Register, Second, Settled
-from jujuberun.request import Queue, Refuse, Run, Verdict
+from jujuberun.request import Queue, Refuse, Run
 from jujuberun.turn import Place, Turn, TurnState
 from jujuberun.work import Work, WorkResult, lose, refuse
 
@@ -23,30 +24,6 @@
 OFFER_PAUSE_S = 0.1  # after no peer had a free slot
 
 
-class Admission(Protocol):
-    """Decides which request gets a slot; see module admission.
-
-    admit returns an instance of its classes Run, Queue or Refuse.
-    """
-
-    def admit(self, request: Any, now: float) -> Verdict:
-        """Returns Run, Queue or Refuse(reason, retry_after) for a request."""
-
-    def finish(
-        self, request: Any, now: float, outcome: Outcome, shed: bool = False
-    ) -> None:
-        """Frees the slot of a request that admit or take_next let run."""
-
-    def cancel(self, request: Any, now: float) -> bool:
-        """Removes a queued request; False when it is not in the queue."""
-
-    def take_next(self, now: float) -> Any | None:
-        """Returns a queued request that now has a slot, or None."""
-
-    def take_refused(self, now: float) -> list[tuple[Any, Any]]:
-        """Returns requests refused while they were queued, with Refuse."""
-
-
 class Runner:
     """The part "runner" of an agent.
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -133,6 +133,25 @@
 
         play(test, jitter=0.01)
 
+    def test_data_may_overtake_the_start(self):
+        # Guards against a new flow that is reset because its second packet
+        # came through a faster balancer than its first.
+        async def test(scene):
+            await scene.start(make_manifest(1, 7))
+            address = make_manifest(1, 7).services["s-0"].address
+            callers = [Caller(scene.net, i, address) for i in range(40)]
+            for caller in callers:
+                caller.send(b"D")
+            await anyio.sleep(0.02)
+            for caller in callers:
+                caller.send(b"S")
+            await scene.talk(callers, 1)
+            for caller in callers:
+                self.assertEqual([], caller.resets)
+                self.assertEqual(1, len(caller.owners))
+
+        play(test)
+
     def test_unknown_flow_is_reset(self):
         # Guards against silence for a flow that nobody owns.
         async def test(scene):
