Survive wrong fields in messages of peers

Only missing fields were counted as incomplete; a field of a wrong value could raise LookupError or ValueError and end the daemon. Both are now counted. The caller uses the rule for resending of module retry in place of a copy.

--- a/jujuberun/caller.py
+++ b/jujuberun/caller.py
@@ -23,7 +23,7 @@
     Headers,
     select_headers,
 )
-from jujuberun.retry import choose_delay
+from jujuberun.retry import choose_delay, may_resend
 from jujuberun.work import WorkResult, lose, refuse
 
 DEFAULT_TIMEOUT_S = 30.0
@@ -211,7 +211,10 @@
             suffix = f".{number}" if number > 1 else ""
             result = await self._attempt(message, name + suffix, deadline)
             unsure = unsure or result.outcome is Outcome.UNKNOWN
-            if not may_retry(result, idempotent) or attempt == MAX_ATTEMPTS:
+            if (
+                not may_resend(result.outcome, idempotent)
+                or attempt == MAX_ATTEMPTS
+            ):
                 break
             if result.outcome is Outcome.NOT_RUN:
                 number += 1
@@ -276,22 +279,6 @@
         return connection
 
 
-def may_retry(result: WorkResult, idempotent: bool) -> bool:
-    """Returns whether another attempt can do no harm.
-
-    Args:
-        result: what became of the last attempt.
-        idempotent: whether running it twice does no harm.
-    """
-    match result.outcome:
-        case Outcome.ANSWERED:
-            return False
-        case Outcome.NOT_RUN:
-            return True
-        case Outcome.UNKNOWN:
-            return idempotent
-
-
 def encode_request(
     message: _Message, name: str, remaining: float
 ) -> tuple[tuple[bytes, bytes], ...]:
--- a/jujuberun/peers.py
+++ b/jujuberun/peers.py
@@ -30,6 +30,14 @@
 PAUSE_S = 1.0
 _PROBE_GONE_S = 5.0  # period of probes to peers that count as gone
 
+_BAD_FIELDS = (
+    WireError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
+
 Handler = Callable[[Any, Address, float], None]
 logger = logging.getLogger("jujuberun.peers")
 
@@ -266,8 +274,9 @@
             return
         try:
             handler(body, sender, now)
-        except (WireError, TypeError, AttributeError) as error:
-            # A field that the sender left out arrives as None.
+        except _BAD_FIELDS as error:
+            # A field that the sender left out arrives as None, and one of the
+            # wrong length or range fails where it is used.
             self.refused["incomplete"] += 1
             logger.warning("peers: Incomplete message: %r.", error)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -82,6 +82,20 @@
         peers.note_pause(600.0)
         self.assertEqual(PeerState.ALIVE, peer.judge(600.0))
 
+    def test_bad_fields_end_no_process(self):
+        # Guards against a daemon that ends at a peer's wrong field.
+        peers, codec = make_peers()
+        now_ms = 1_700_000_000_000
+        for error in (KeyError, IndexError, ValueError, TypeError):
+
+            def fail(message, sender, now, error=error):
+                raise error("field")
+
+            peers.register(Hint, fail)
+            data = codec.seal(Hint(caller=b"x"), peers.address, now_ms)
+            peers.accept(data, ADDRESS, 0.0, now_ms)
+        self.assertEqual(4, peers.refused["incomplete"])
+
     def test_incomplete_message_is_counted(self):
         # Guards against a process that ends at a message without a field.
         peers, codec = make_peers()
