--- a/jujuberun/claims.py
+++ b/jujuberun/claims.py
@@ -7,7 +7,7 @@
 
 from jujuberun.ids import Address
 from jujuberun.peers import Peers
-from jujuberun.wire import Claim, ClaimReply
+from jujuberun.wire import Claim, ClaimReply, unpack_address
 
 CLAIM_TIMEOUT_S = 0.1
 CLAIM_TRIES = 3
@@ -60,6 +60,10 @@
         waiting = self._waiting.get(reply.token)
         if waiting is None:
             return
+        if reply.owner is not None:
+            # A malformed address is refused here, where it is counted; the
+            # task that asked has no one to report it to.
+            unpack_address(reply.owner_agent)
         event, replies = waiting
         replies.append(reply)
         event.set()
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,116 @@
+import random
+
+import anyio
+from test_peers import FakePort
+from testtools import TestCase
+
+from jujuberun.agent import Agent
+from jujuberun.beliefs import Beliefs
+from jujuberun.generations import Generations
+from jujuberun.manifest import dump_manifest
+from jujuberun.members import Members
+from jujuberun.peers import Peers
+from jujuberun.standin_manifest import make_manifest
+from jujuberun.wire import Codec, Envelope, Forward, Signer, pack_address
+
+MANIFEST = make_manifest(2, 6)
+ADDRESS = pack_address(MANIFEST.services["s-0"].address)
+TEXTS = (b"", b"x", ADDRESS, b"12345678", "t-0", "t-2", "s-0", "s-1", "quic")
+NUMBERS = (0, 1, -1, 3, 7, 2**15 - 1, 2**31 - 1, -(2**31))
+RATES = (0.0, -1.0, 1e300, float("nan"), 5.0)
+MESSAGES = 20_000
+
+
+class FakeFlow:
+    open_requests = 0
+
+    def __init__(self, service):
+        self.service = service
+
+    def deliver(self, payload, now):
+        pass
+
+    async def run(self):
+        await anyio.sleep(0.01)
+
+    def drain(self):
+        pass
+
+
+def draw(rng, spec):
+    """Draws a value of a Thrift field's type, or leaves the field out."""
+    kind = spec[0]
+    if rng.random() < 0.12:
+        return None
+    if kind == 15:
+        inner = spec[2] if isinstance(spec[2], tuple) else (spec[2],)
+        item = (inner[0], "", inner[-1])
+        return [draw(rng, item) for _ in range(rng.randrange(3))]
+    if kind == 12:
+        return draw_message(rng, spec[2])
+    return rng.choice(
+        {2: (False, True), 4: RATES, 11: TEXTS}.get(kind, NUMBERS)
+    )
+
+
+def draw_message(rng, kind):
+    message = kind()
+    for spec in kind.thrift_spec.values():
+        setattr(message, spec[1], draw(rng, spec))
+    if kind is Forward and rng.random() < 0.9:
+        message.address, message.caller = ADDRESS, rng.randbytes(1) * 6
+        message.payload = rng.choice((b"S", b"D", b""))
+        message.hops = rng.choice((0, 0, 1, 4))
+        message.owner = rng.choice((None, "t-0", "t-2"))
+        message.generation = rng.choice((0, 1, 2))
+        message.service_id, message.balancer = "s-0", None
+        message.candidates = list(MANIFEST.services["s-0"].targets)
+        message.passed = None
+    return message
+
+
+class AgentTest(TestCase):
+    def test_no_message_of_a_peer_ends_the_agent(self):
+        # Guards against fields of a wrong value; a ClaimReply with an owner
+        # but no address ended the process.
+        rng = random.Random(5)
+        generations = Generations()
+        generations.offer(dump_manifest(MANIFEST), "test", 0.0).unwrap()
+        peers = Peers(FakePort(), Codec(Signer([b"k" * 16])))
+        peers.address = MANIFEST.targets["t-0"].agent
+
+        async def main():
+            members = Members("vm")
+            beliefs = Beliefs(
+                "t-0", peers, generations, members, random.Random(6)
+            )
+            agent = Agent(
+                "t-0",
+                peers,
+                generations,
+                beliefs,
+                lambda service, target, send: FakeFlow(service),
+            )
+            kinds = [
+                spec[2]
+                for number, spec in Envelope.thrift_spec.items()
+                if number >= 10 and spec[2] in peers._handlers
+            ]
+            async with anyio.create_task_group() as group:
+                await group.start(agent.run)
+                await group.start(beliefs.run)
+                for number in range(MESSAGES):
+                    message = draw_message(rng, rng.choice(kinds))
+                    sender = ("127.0.0.1", rng.randrange(1, 10))
+                    peers._dispatch(message, sender, anyio.current_time())
+                    if number % 200 == 0:
+                        await anyio.sleep(0.002)
+                await anyio.sleep(0.4)
+                agent.dump_state(anyio.current_time())
+                beliefs.dump_state(anyio.current_time())
+                group.cancel_scope.cancel()
+            return agent.counts
+
+        counts = anyio.run(main)
+        self.assertTrue(peers.refused["incomplete"] > 0)
+        self.assertTrue(counts["flows_created"] > 0)
