--- a/jujuberun/measure_broken.py
+++ b/jujuberun/measure_broken.py
@@ -30,6 +30,7 @@
 from jujuberun.standin_echo import DATA, LOST, START
 from jujuberun.standin_fabric import Fabric
 from jujuberun.standin_fleet import Fleet, find_port
+from jujuberun.standin_manifest import DOMAINS
 from jujuberun.wire import parse_reset
 
 FLOWS = 14_000
@@ -41,7 +42,6 @@
 PHASE_S = 7.0
 QUICK_PHASE_S = 2.0
 _CALLER_HOSTS = 16
-DOMAINS = ("dorval-a", "dorval-b", "lachine", "saint-laurent")
 MEAL, LABEL = ServiceId("meal-change"), ServiceId("label")
 
 
