--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -70,7 +70,7 @@
             act(balancer, peers)
             await group.start(balancer.run)
             act(balancer, peers)
-            await anyio.sleep(0.05)
+            await anyio.wait_all_tasks_blocked()
             group.cancel_scope.cancel()
         return own
 
