Hold several early packets of one flow together

Cause: after a claim found no owner, each queued packet of the flow was held on its own; the second hold dropped the first's packets, and its task failed with KeyError and ended the agent. hold() now adds to what is held already. tests/test_early.py failed with KeyError before and passes now.

Also uses the directory's refresh period and the registrar's flush period where the agent had copies of both.

--- a/jujuberun/agent.py
+++ b/jujuberun/agent.py
@@ -11,6 +11,7 @@
 
 from jujuberun.beliefs import Beliefs
 from jujuberun.candidates import View
+from jujuberun.directory import REFRESH_S
 from jujuberun.flows import Flow
 from jujuberun.generations import Generations, Version
 from jujuberun.ids import Address, FlowId, Protocol, ServiceId, TargetId
@@ -18,7 +19,7 @@
 from jujuberun.ownership import UNSETTLED_S, Ownership
 from jujuberun.packet import Packet
 from jujuberun.peers import Peer, Peers
-from jujuberun.registrar import Record, Registrar
+from jujuberun.registrar import FLUSH_S, Record, Registrar
 from jujuberun.replies import Replies
 from jujuberun.shares import PERIOD_S, StartShares
 from jujuberun.wire import (
@@ -32,7 +33,6 @@
     unpack_address,
 )
 
-REFRESH_S = 120.0
 logger = logging.getLogger("jujuberun.agent")
 
 OpenFlow = Callable[[Service, Target, Callable[[bytes], None]], Flow]
@@ -368,7 +368,7 @@
     async def _keep_registered(self) -> None:
         refreshed = anyio.current_time()
         while True:
-            await anyio.sleep(0.1)
+            await anyio.sleep(FLUSH_S)
             now = anyio.current_time()
             if now - refreshed > REFRESH_S:
                 refreshed = now
--- a/jujuberun/early.py
+++ b/jujuberun/early.py
@@ -51,7 +51,11 @@
         Returns:
             False when it was held before, or too many flows are held.
         """
-        if packet.early or len(self._held) >= MAX_FLOWS:
+        if packet.early:
+            return False
+        if self.add(packet):
+            return True
+        if len(self._held) >= MAX_FLOWS:
             return False
         self._held[packet.flow] = _Held(rule, [packet])
         group.start_soon(self._wait, packet.flow)
--- /dev/null
+++ b/tests/test_early.py
@@ -0,0 +1,34 @@
+from types import SimpleNamespace
+
+import anyio
+from testtools import TestCase
+
+from jujuberun.early import EARLY_S, EarlyPackets
+from jujuberun.manifest import FirstPacket, FirstPacketRule
+from jujuberun.packet import Packet
+
+RULE = FirstPacket(FirstPacketRule.PREFIX, b"S")
+
+
+def make_packet(payload):
+    forward = SimpleNamespace(payload=payload)
+    return Packet(b"12345678", forward, ("127.0.0.1", 1), ("127.0.0.1", 2))
+
+
+class EarlyPacketsTest(TestCase):
+    def test_several_packets_of_a_flow_are_held_together(self):
+        # Guards against a second hold that loses the packets of the first,
+        # and whose task ended the agent when both had waited.
+        placed = []
+        early = EarlyPackets(lambda packet, now: placed.append(packet))
+        packets = [make_packet(b"D"), make_packet(b"D")]
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                for packet in packets:
+                    self.assertTrue(early.hold(packet, RULE, group))
+                await anyio.sleep(2 * EARLY_S)
+
+        anyio.run(main)
+        self.assertEqual(packets, placed)
+        self.assertFalse(early.hold(packets[0], RULE, None))
