--- a/jujuberun/link.py
+++ b/jujuberun/link.py
@@ -257,7 +257,7 @@
         """Returns the reply, or None when the handler failed or was left."""
         reply = None
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch_closing, stream, group.cancel_scope)
+            group.start_soon(watch_closing, stream, group.cancel_scope)
             try:
                 reply = await handler(message, sender)
             except Exception:
@@ -326,9 +326,7 @@
     return bytes(data)
 
 
-async def _watch_closing(
-    stream: SocketStream, scope: anyio.CancelScope
-) -> None:
+async def watch_closing(stream: SocketStream, scope: anyio.CancelScope) -> None:
     """Cancels the scope when the caller closes or sends out of turn."""
     closed = (OSError, anyio.EndOfStream, anyio.BrokenResourceError)
     with contextlib.suppress(*closed):
--- a/jujuberun/standin_platform.py
+++ b/jujuberun/standin_platform.py
@@ -20,6 +20,7 @@
 
 from jujuberun.errors import SourceError
 from jujuberun.ids import Address, VmId
+from jujuberun.link import watch_closing
 from jujuberun.manifest import format_address, parse_address
 from jujuberun.source import ANSWER_TIMEOUT_S, Document, Kind
 
@@ -204,7 +205,7 @@
         wait = float(query.get("wait", "0"))
         answer = None
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch_closing, stream, group.cancel_scope)
+            group.start_soon(watch_closing, stream, group.cancel_scope)
             answer = await self.read(kind, index, wait, reader)
             group.cancel_scope.cancel()
         if answer is None:
@@ -290,16 +291,6 @@
     await stream.send(head.encode() + answer.body)
 
 
-async def _watch_closing(
-    stream: SocketStream, scope: anyio.CancelScope
-) -> None:
-    """Cancels the scope when the reader closes its connection."""
-    closed = (OSError, anyio.EndOfStream, anyio.BrokenResourceError)
-    with contextlib.suppress(*closed):
-        await stream.receive(1)
-    scope.cancel()
-
-
 async def _publish_files(platform: Platform, files: dict[str, Path]) -> None:
     held: dict[str, bytes] = {}
     while True:
