Carry packet flows on the users' platform

Adds a third protocol, packet: callers and targets end their flows themselves, balancers and agents carry the packets unchanged.

--- a/jujuberun/assembly.py
+++ b/jujuberun/assembly.py
@@ -1,54 +1,47 @@
 """Assembly: builds the parts of a daemon from its settings."""
 
-import random
-from collections.abc import Callable
-from pathlib import Path
+from dataclasses import dataclass
 
 import anyio
-from aioquic.quic.configuration import QuicConfiguration
 
-from jujuberun.admission import Admission
-from jujuberun.agent import Agent
-from jujuberun.balancer import Balancer
-from jujuberun.beliefs import Beliefs
 from jujuberun.dump import Dump
-from jujuberun.flows import DatagramFlow, Flow
+from jujuberun.frames import FrameCodec
 from jujuberun.generations import Generations
-from jujuberun.ids import Protocol, Role, ServiceId, VmState
+from jujuberun.ids import Address, Role
 from jujuberun.kernel import Kernel
 from jujuberun.link import Link
-from jujuberun.loads import TargetLoad
-from jujuberun.manifest import Manifest, Service, Target
-from jujuberun.members import Members, VmList
+from jujuberun.manifest import Manifest
+from jujuberun.members import Members
 from jujuberun.metrics import Metrics
-from jujuberun.offload import Offload
 from jujuberun.peers import Peers
 from jujuberun.port import SocketPort
-from jujuberun.quic import load_server_tls
-from jujuberun.runner import Runner
+from jujuberun.roster import Roster
 from jujuberun.settings import Settings
-from jujuberun.source import make_source
+from jujuberun.source import Source
 from jujuberun.spread import Spread
-from jujuberun.streams import RequestFlow
-from jujuberun.wire import (
-    Cancel,
-    Codec,
-    Reserve,
-    ReserveReply,
-    Run,
-    Signer,
-    Status,
-)
+from jujuberun.watch import ReadPace
+from jujuberun.wire import Codec, Signer, Status
 
 
-async def assemble(settings: Settings) -> Kernel:
-    """Builds all parts of a daemon; an agent first waits for its manifest.
+@dataclass(frozen=True, slots=True)
+class Network:
+    """What a daemon needs to know of the network that it runs in.
+
+    Attributes:
+        source: where manifest and VM list are published.
+        codec: format of the packets, None without packet services.
+    """
+
+    source: Source
+    codec: FrameCodec | None = None
+
+
+def assemble(settings: Settings, network: Network) -> Kernel:
+    """Builds all parts of a daemon but those of its role; see add_role.
 
     Args:
         settings: checked settings.
-
-    Returns:
-        A kernel with all parts but those of the role; see add_role.
+        network: the network that it runs in.
 
     Raises:
         OSError: an address cannot be bound.
@@ -56,123 +49,89 @@
     kernel = Kernel()
     signer = Signer(settings.keys)
     peers = Peers(SocketPort.bind(settings.peer), Codec(signer))
-    link = Link(settings.peer, signer)
-    generations = Generations()
-    members = Members(settings.vm)
-    spread = Spread(
-        settings.vm,
-        settings.seeds,
-        generations,
-        members,
-        link,
-        peers.send,
-        make_source(settings.platform, settings.vm),
-        read_clock=anyio.current_time,
-    )
-    peers.register(Status, spread.handle_status)
-    peers.subscribe_pauses(spread.ask_peers)
-    for part in (generations, members, peers, link, spread):
-        kernel.register(part)
+    kernel.register(peers)
+    if needs_documents(settings):
+        _add_documents(kernel, settings, network.source, signer)
     kernel.register(Metrics(kernel))
     kernel.register(Dump(kernel, settings.admin))
     return kernel
 
 
-def add_role(kernel: Kernel, settings: Settings, manifest: Manifest) -> None:
+def needs_documents(settings: Settings) -> bool:
+    """Returns whether the role needs manifest and VM list.
+
+    The agent of a packet target learns what it needs from each packet.
+    """
+    return settings.role is Role.BALANCER or settings.packet.address is None
+
+
+def add_role(
+    kernel: Kernel,
+    settings: Settings,
+    network: Network,
+    manifest: Manifest | None,
+) -> None:
     """Adds the parts of the daemon's role.
 
     Args:
         kernel: what assemble returned.
         settings: checked settings.
-        manifest: the manifest in force.
+        network: the network that it runs in.
+        manifest: the manifest in force, None for a role without documents.
 
     Raises:
         KeyError: the agent's target is not in the manifest.
         RequestError: the certificate cannot be read.
     """
-    match settings.role:
-        case Role.BALANCER:
-            kernel.register(Balancer.from_config(settings, kernel))
-        case Role.AGENT:
-            _add_agent(kernel, settings, manifest)
+    # Only one of the two is loaded: QUIC and TLS cost 30 MB and 0.3 s at
+    # start, which a role without them saves.
+    if settings.packet.address is not None:
+        from jujuberun.packet_parts import add_packet_role
+
+        add_packet_role(kernel, settings, network.codec)
+        return
+    from jujuberun.request_parts import add_request_role
+
+    add_request_role(kernel, settings, manifest)
+
+
+def find_seeds(settings: Settings) -> tuple[Address, ...]:
+    """Returns the peer addresses of the seeds."""
+    if not settings.seed_port:
+        return settings.seeds
+    return tuple((host, settings.seed_port) for host, _ in settings.seeds)
 
 
-def _add_agent(kernel: Kernel, settings: Settings, manifest: Manifest) -> None:
-    rng = random.Random()
-    name = settings.agent.target
-    target = manifest.targets[name]
+def _add_documents(
+    kernel: Kernel, settings: Settings, source: Source, signer: Signer
+) -> None:
+    """Adds the parts that keep manifest and VM list up to date."""
     peers: Peers = kernel.find("peers")
-    generations: Generations = kernel.find("generations")
-    members: Members = kernel.find("members")
-    link: Link = kernel.find("link")
-    beliefs = Beliefs(name, peers, generations, members, rng)
-    admission = Admission.from_config(target.slots, rng)
-    runner = Runner.from_config(target, admission, beliefs.note_exchange)
-
-    def find_service(service_id: ServiceId) -> Service | None:
-        service = generations.current.manifest.services.get(service_id)
-        if service is None or name not in service.targets:
-            return None
-        return service
-
-    offload = Offload(
-        runner,
+    link = Link(settings.peer, signer)
+    generations = Generations()
+    members = Members(settings.vm)
+    seeds = find_seeds(settings)
+    platform = settings.platform
+    roster = None
+    if not platform.lists_balancers:
+        roster = Roster(settings.peer, seeds)
+    spread = Spread(
+        settings.vm,
+        seeds,
+        generations,
+        members,
         link,
         peers.send,
-        beliefs.find_idle_peers,
-        find_service,
-        anyio.current_time,
-    )
-    runner.use_offload(offload)
-    runner.choose_place = beliefs.choose_place
-    link.serve(Run, lambda m, _: offload.handle_run(m, anyio.current_time()))
-    peers.register(Reserve, offload.handle_reserve)
-    peers.register(ReserveReply, lambda m, a, _: offload.handle_reply(m, a))
-    peers.register(Cancel, lambda m, _, now: offload.handle_cancel(m, now))
-    agent = Agent(
-        name, peers, generations, beliefs, _make_opener(settings, runner)
+        source,
+        read_clock=anyio.current_time,
+        roster=roster,
+        pace=ReadPace(
+            wait=platform.watch_wait,
+            start_spread=platform.start_spread,
+            retry_limit=platform.retry_limit,
+        ),
     )
-
-    def read_load() -> TargetLoad:
-        return TargetLoad(admission.busy, admission.queued, agent.count_flows())
-
-    def note_members(vm_list: VmList) -> None:
-        own = vm_list.vms.get(settings.vm)
-        if own is not None and own.state is VmState.LEAVING:
-            agent.refuse_new_flows()
-            runner.draining = True
-
-    beliefs.read_load = read_load
-    beliefs.is_draining = lambda: agent.draining
-    members.subscribe(note_members)
-    for part in (beliefs, runner, offload, agent):
+    peers.register(Status, spread.handle_status)
+    peers.subscribe_pauses(spread.ask_peers)
+    for part in (generations, members, link, spread):
         kernel.register(part)
-
-
-def _make_opener(
-    settings: Settings, runner: Runner
-) -> Callable[[Service, Target, Callable[[bytes], None]], Flow]:
-    """Returns what opens a flow by the protocol of its service."""
-    tls: QuicConfiguration | None = None
-    if settings.agent.certificate:
-        tls = load_server_tls(
-            Path(settings.agent.certificate),
-            Path(settings.agent.private_key),
-        )
-
-    def open_flow(
-        service: Service, target: Target, send: Callable[[bytes], None]
-    ) -> Flow:
-        match service.protocol:
-            case Protocol.DATAGRAM:
-                port = SocketPort.connect(target.address)
-                idle_timeout = settings.agent.idle_timeout
-                return DatagramFlow(
-                    service, target.address, port, send, idle_timeout
-                )
-            case Protocol.REQUEST:
-                if tls is None:
-                    raise OSError(0, "settings name no agent.certificate")
-                return RequestFlow.from_config(service, send, runner, tls)
-
-    return open_flow
--- a/jujuberun/daemon.py
+++ b/jujuberun/daemon.py
@@ -3,47 +3,50 @@
 import argparse
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import anyio
 from result import Err, Ok
 
-from jujuberun.agent import Agent
-from jujuberun.assembly import add_role, assemble
-from jujuberun.balancer import Balancer
+from jujuberun.assembly import (
+    Network,
+    add_role,
+    assemble,
+    needs_documents,
+)
 from jujuberun.errors import JujuberunError
 from jujuberun.generations import Generations
 from jujuberun.ids import Role
 from jujuberun.kernel import Kernel
 from jujuberun.logs import find_logger, set_up_logs
 from jujuberun.manifest import format_address
-from jujuberun.runner import Runner
 from jujuberun.settings import Settings, load_settings
+from jujuberun.source import make_source
 from jujuberun.spread import Spread
 
 EXIT_SETTINGS = 2
 EXIT_FORCED = 3
-_MAX_DRAIN_BALANCER_S = 30.0
 _WAIT_MANIFEST_S = 0.1
 logger = find_logger("daemon")
 
 
-async def run_daemon(settings: Settings) -> int:
+async def run_daemon(settings: Settings, network: Network) -> int:
     """Runs a daemon until it is stopped by a signal.
 
     Args:
         settings: checked settings.
+        network: the network that it runs in.
 
     Returns:
         Exit status: 0 after a graceful stop, EXIT_FORCED when a second
         signal cut open work.
     """
-    kernel = await assemble(settings)
+    kernel = assemble(settings, network)
     status = 0
     async with anyio.create_task_group() as group:
         await group.start(kernel.run)
-        group.start_soon(_start_role, kernel, settings)
+        group.start_soon(_start_role, kernel, settings, network)
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
         ) as signals:
@@ -61,19 +64,37 @@
     return status
 
 
-async def _start_role(kernel: Kernel, settings: Settings) -> None:
+async def _start_role(
+    kernel: Kernel, settings: Settings, network: Network
+) -> None:
     """Starts the parts of the role once a manifest names what they serve."""
+    if needs_documents(settings):
+        await _add_role_of_manifest(kernel, settings, network)
+    else:
+        add_role(kernel, settings, network, None)
+    logger.info(
+        "%s %s serves peers on %s.",
+        settings.role.value,
+        settings.vm,
+        format_address(settings.peer),
+    )
+
+
+async def _add_role_of_manifest(
+    kernel: Kernel, settings: Settings, network: Network
+) -> None:
     generations: Generations = kernel.find("generations")
     spread: Spread = kernel.find("spread")
     warned = False
-    # A process that knows less than its peers could create flows that they
-    # own already.
-    await spread.wait_confirmed()
+    if settings.packet.address is None:
+        # A process that knows less than its peers could create flows that
+        # they own already. Packet flows belong to their targets alone.
+        await spread.wait_confirmed()
     while True:
         version = generations.current
         try:
             if version is not None:
-                add_role(kernel, settings, version.manifest)
+                add_role(kernel, settings, network, version.manifest)
                 break
         except KeyError:
             if not warned:
@@ -83,12 +104,6 @@
                 )
                 warned = True
         await anyio.sleep(_WAIT_MANIFEST_S)
-    logger.info(
-        "%s %s serves peers on %s.",
-        settings.role.value,
-        settings.vm,
-        format_address(settings.peer),
-    )
 
 
 async def _drain(
@@ -102,14 +117,14 @@
     match settings.role:
         case Role.BALANCER:
             quiet = settings.balancer.drain_timeout
-            balancer: Balancer = kernel.find("balancer")
-            await balancer.drain(quiet, _MAX_DRAIN_BALANCER_S)
+            limit = settings.balancer.drain_limit
+            await kernel.find("balancer").drain(quiet, limit)
         case Role.AGENT:
-            agent: Agent = kernel.find("agent")
-            cut = await agent.drain(settings.agent.drain_timeout)
-            runner: Runner = kernel.find("runner")
-            runner.draining = True
-            await kernel.find("link").drain(settings.agent.drain_timeout)
+            limit = settings.agent.drain_timeout
+            cut = await kernel.find("agent").drain(limit)
+            if kernel.has("runner"):
+                kernel.find("runner").draining = True
+                await kernel.find("link").drain(limit)
             if cut:
                 logger.warning("Drain timeout cut %d flows.", cut)
     scope.cancel()
@@ -123,10 +138,10 @@
     return EXIT_FORCED
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Entry point of jujuberund."""
+def make_parser(prog: str) -> argparse.ArgumentParser:
+    """Returns the parser of the daemon's command line."""
     parser = argparse.ArgumentParser(
-        prog="jujuberund",
+        prog=prog,
         description=(
             "Runs one jujuberun daemon: a balancer on an entry VM or an agent "
             "beside a target, by its settings. SIGTERM or SIGINT stops it "
@@ -140,23 +155,48 @@
         metavar="FILE",
         help="settings file in TOML",
     )
-    options = parser.parse_args(arguments)
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Entry point of jujuberund."""
+    return start_daemon(arguments, "jujuberund", _make_network)
+
+
+def start_daemon(
+    arguments: Sequence[str] | None,
+    prog: str,
+    make_network: Callable[[Settings], Network],
+) -> int:
+    """Runs a daemon by its command line.
+
+    Args:
+        arguments: of the command line, None for those of the process.
+        prog: name of the program for messages.
+        make_network: returns the network that the settings describe.
+
+    Returns:
+        Exit status: 0 after a graceful stop, 1 if it could not start,
+        EXIT_SETTINGS for wrong settings, EXIT_FORCED after a second signal.
+    """
+    options = make_parser(prog).parse_args(arguments)
     match load_settings(options.config):
         case Err(error):
-            print(f"jujuberund: {error}", file=sys.stderr)
+            print(f"{prog}: {error}", file=sys.stderr)
             return EXIT_SETTINGS
         case Ok(settings):
-            return _start(settings)
-
-
-def _start(settings: Settings) -> int:
+            pass
     set_up_logs(settings.log)
     try:
-        return anyio.run(run_daemon, settings)
+        return anyio.run(run_daemon, settings, make_network(settings))
     except (JujuberunError, OSError) as error:
-        print(f"jujuberund: {error}", file=sys.stderr)
+        print(f"{prog}: {error}", file=sys.stderr)
         return 1
 
 
+def _make_network(settings: Settings) -> Network:
+    return Network(make_source(settings.platform, settings.vm))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/jujuberun/dump.py
+++ b/jujuberun/dump.py
@@ -146,6 +146,8 @@
         for part in self._kernel.list_parts():
             if part.name == "generations" and part.current is None:
                 return Reply.from_json(503, {"status": "no-manifest"})
+            if not getattr(part, "is_ready", True):
+                return Reply.from_json(503, {"status": "not-ready"})
         return Reply.from_json(200, {"status": "serving"})
 
     async def _serve(self, stream: SocketStream) -> None:
--- a/jujuberun/ids.py
+++ b/jujuberun/ids.py
@@ -7,6 +7,7 @@
 TargetId = NewType("TargetId", str)
 VmId = NewType("VmId", str)
 DomainId = NewType("DomainId", str)
+PoolId = NewType("PoolId", str)
 RequestId = NewType("RequestId", str)
 FlowId = NewType("FlowId", bytes)
 Generation = NewType("Generation", int)
@@ -38,10 +39,17 @@
 
 
 class Protocol(Enum):
-    """How the agent ends the flows of a service."""
+    """Who ends the flows of a service, and how.
+
+    Attributes:
+        DATAGRAM: the agent, with a socket to its target for each flow.
+        REQUEST: the agent, as an HTTP/3 server.
+        PACKET: the target itself; daemons carry its packets unchanged.
+    """
 
     DATAGRAM = "datagram"
     REQUEST = "request"
+    PACKET = "packet"
 
 
 class Outcome(Enum):
--- a/jujuberun/jujuberun.thrift
+++ b/jujuberun/jujuberun.thrift
@@ -103,6 +103,12 @@
   2: list<Load> loads
 }
 
+// A balancer that somebody heard, for balancers that no list names.
+struct Sighting {
+  1: binary peer
+  2: i32 age                    // ms since it was heard
+}
+
 // Generation news, sent to a few random peers each second.
 struct Status {
   1: string vm
@@ -113,6 +119,8 @@
   6: list<Load> loads
   7: optional i64 asks          // token; the receiver replies with a Status
   8: optional i64 replies       // token of the Status that asked
+  9: optional list<Sighting> sightings
+  10: optional i32 read_age     // ms since somebody read the platform
 }
 
 // Asks a silent peer for a sign of life; answered by ProbeReply.
@@ -204,6 +212,22 @@
   6: i32 retry_after
 }
 
+// A target accepted the start of a packet flow.
+struct Accepted {
+  1: binary key                 // packed caller and service address
+  2: i64 sequence               // first sequence number of the target
+  3: i32 busy                   // flows that wait for an answer of the target
+  4: i32 service_time           // us, moving mean
+}
+
+// An agent passed the start of a packet flow back: its target has no free slot.
+struct Declined {
+  1: binary key
+  2: i32 busy
+  3: i32 service_time           // us, moving mean
+  4: bool draining              // the agent takes no new flows
+}
+
 struct Envelope {
   1: i64 sender                 // incarnation of the sending process
   2: i64 sequence               // per receiver
@@ -225,6 +249,8 @@
   24: optional Grant grant
   25: optional RegisterReply register_reply
   26: optional Loads loads
+  27: optional Accepted accepted
+  28: optional Declined declined
   30: optional Fetch fetch
   31: optional Document document
   32: optional Run run
--- a/jujuberun/logs.py
+++ b/jujuberun/logs.py
@@ -22,6 +22,8 @@
     "daemon": "Start, graceful stop, and what a second signal cut.",
     "balancer": "Service addresses that cannot be bound.",
     "agent": "Flows that fail, and conflicts of owners.",
+    "relay": "Packet flows at a balancer: resets, drops, suspected targets.",
+    "sidecar": "Packet flows at an agent: packets of other pools.",
     "peers": "Messages between daemons; peers that are suspected or gone.",
     "generations": "Manifests that come into force or are refused.",
     "source": "Reads of the platform.",
--- a/jujuberun/manifest.py
+++ b/jujuberun/manifest.py
@@ -14,6 +14,7 @@
     Address,
     DomainId,
     Generation,
+    PoolId,
     Protocol,
     ServiceId,
     TargetId,
@@ -91,6 +92,19 @@
     connection_limit: int
 
 
+@dataclass(frozen=True, slots=True)
+class PoolShare:
+    """Share of a service's new flows that one pool takes.
+
+    Attributes:
+        pool: targets that register themselves under this name.
+        weight: share in relation to the weights of the other pools.
+    """
+
+    pool: PoolId
+    weight: int
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """A service and the targets that carry it.
@@ -103,6 +117,10 @@
         protocol: how agents end its flows.
         first_packet: which datagrams may start a flow.
         targets: ids of its targets, in the manifest's order.
+        pools: where its targets register themselves, for protocol PACKET.
+        idle_timeout: seconds after which a flow without packets may be
+            forgotten, 0 for the default of the daemon.
+        objective: seconds in which callers want an answer, 0 if unknown.
     """
 
     id: ServiceId
@@ -112,6 +130,9 @@
     protocol: Protocol
     first_packet: FirstPacket
     targets: tuple[TargetId, ...]
+    pools: tuple[PoolShare, ...] = ()
+    idle_timeout: float = 0.0
+    objective: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,6 +272,11 @@
                     f"{kind}.{index}.id", repr(entry["id"]), "a unique id"
                 ).err_value
             seen.add(entry["id"])
+    registering = Protocol.PACKET.value
+    named = [s for s in document["services"] if s["protocol"] != registering]
+    if named and not document["targets"]:
+        allowed = "a list of at least one target"
+        return _refuse("targets", "[]", allowed).err_value
     targets = {entry["id"] for entry in document["targets"]}
     addresses: dict[str, str] = {}
     for index, service in enumerate(document["services"]):
@@ -262,6 +288,9 @@
                 f"an address that {addresses[address]!r} does not have",
             ).err_value
         addresses[address] = service["id"]
+        problem = _find_targets_problem(index, service)
+        if problem is not None:
+            return problem
         for place, name in enumerate(service["targets"]):
             if name not in targets:
                 return _refuse(
@@ -272,6 +301,27 @@
     return None
 
 
+def _find_targets_problem(
+    index: int, service: dict[str, Any]
+) -> ManifestError | None:
+    """Returns what is wrong with the places that name a service's targets."""
+    key = f"services.{index}"
+    packet = service["protocol"] == Protocol.PACKET.value
+    if packet and not service.get("pools"):
+        allowed = "a list of pools for protocol packet"
+        return _refuse(f"{key}.pools", "missing", allowed).err_value
+    if packet and service["targets"]:
+        allowed = "an empty list for protocol packet"
+        return _refuse(f"{key}.targets", "not empty", allowed).err_value
+    if not packet and service.get("pools"):
+        allowed = "no pools unless the protocol is packet"
+        return _refuse(f"{key}.pools", "present", allowed).err_value
+    if not packet and not service["targets"]:
+        allowed = "a list of at least one target id, each once"
+        return _refuse(f"{key}.targets", "[]", allowed).err_value
+    return None
+
+
 def _build_manifest(document: dict[str, Any]) -> Manifest:
     services = [_build_service(entry) for entry in document["services"]]
     targets = [_build_target(entry) for entry in document["targets"]]
@@ -297,6 +347,12 @@
         protocol=Protocol(entry["protocol"]),
         first_packet=FirstPacket.from_config(entry["first_packet"]),
         targets=tuple(TargetId(name) for name in entry["targets"]),
+        pools=tuple(
+            PoolShare(PoolId(share["pool"]), share["weight"])
+            for share in entry.get("pools", ())
+        ),
+        idle_timeout=abs(float(entry.get("idle_timeout", 0.0))),
+        objective=abs(float(entry.get("objective", 0.0))),
     )
 
 
@@ -316,7 +372,7 @@
     rule = first.rule.value
     if first.rule is FirstPacketRule.PREFIX:
         rule = f"prefix:{first.prefix.hex()}"
-    return {
+    document = {
         "id": service.id,
         "address": format_address(service.address),
         "urgency": service.urgency.name.lower(),
@@ -325,6 +381,16 @@
         "first_packet": rule,
         "targets": list(service.targets),
     }
+    if service.pools:
+        document["pools"] = [
+            {"pool": share.pool, "weight": share.weight}
+            for share in service.pools
+        ]
+    if service.idle_timeout:
+        document["idle_timeout"] = service.idle_timeout
+    if service.objective:
+        document["objective"] = service.objective
+    return document
 
 
 def _dump_target(target: Target) -> dict[str, Any]:
--- a/jujuberun/members.py
+++ b/jujuberun/members.py
@@ -15,17 +15,37 @@
 from jujuberun.delta import MAX_DOCUMENT_BYTES, digest_document
 from jujuberun.errors import SourceError
 from jujuberun.generations import Acceptance
-from jujuberun.ids import Address, DomainId, Role, VmId, VmState
+from jujuberun.ids import Address, DomainId, PoolId, Role, VmId, VmState
 from jujuberun.manifest import format_address, parse_address
 
 # Three, so that the platform may answer only some processes and two of a
 # group may be down; a constant number keeps reads independent of the fleet.
 WATCHERS_PER_GROUP = 3
+MAX_SLOTS = 10_000  # as the manifest's schema has it
+MAX_WARMUP_S = 86_400.0
 _HELD_TEXTS = 8  # earlier lists, as bases of differences
 
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """What a target says of itself.
+
+    Attributes:
+        pool: the pool that it serves.
+        address: where its application listens, as its agent reaches it.
+        slots: requests that it runs at the same time.
+        warmup: seconds for which it is still slow after its start, counted
+            from the list in which it stands.
+    """
+
+    pool: PoolId
+    address: Address
+    slots: int
+    warmup: float
+
+
 @dataclass(frozen=True, slots=True)
 class Vm:
     """One VM that runs a daemon.
@@ -36,6 +56,7 @@
         peer: address for messages of other daemons.
         domain: failure domain.
         state: live or leaving.
+        target: the target beside its agent, when it registers itself.
     """
 
     id: VmId
@@ -43,6 +64,7 @@
     peer: Address
     domain: DomainId
     state: VmState
+    target: Registration | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +85,8 @@
 
     Args:
         data: JSON text {"index": n, "vms": [{"id", "role", "peer", "domain",
-            "state"}]}.
+            "state", "target"}]}; target is optional: {"pool", "address",
+            "slots", "warmup"}.
     """
     if len(data) > MAX_DOCUMENT_BYTES:
         return _refuse(f"more than {MAX_DOCUMENT_BYTES} bytes")
@@ -82,16 +105,7 @@
 
 def dump_vm_list(vm_list: VmList) -> bytes:
     """Returns the JSON text of a VM list."""
-    vms = [
-        {
-            "id": vm.id,
-            "role": vm.role.value,
-            "peer": format_address(vm.peer),
-            "domain": vm.domain,
-            "state": vm.state.value,
-        }
-        for vm in vm_list.vms.values()
-    ]
+    vms = [_dump_vm(vm) for vm in vm_list.vms.values()]
     document = {"index": vm_list.index, "vms": vms}
     return json.dumps(document, separators=(",", ":")).encode()
 
@@ -245,21 +259,59 @@
     return Err(SourceError("parse VM list", "", reason))
 
 
-def _build_vm(entry: dict[str, str]) -> Vm:
-    peer = parse_address(entry["peer"])
-    # A name in place of an address would be resolved at each datagram.
-    socket.inet_pton(socket.AF_INET, peer[0])
-    if not 0 < peer[1] < 65_536:
-        raise ValueError(f"port {peer[1]}")
+def _dump_vm(vm: Vm) -> dict[str, Any]:
+    entry: dict[str, Any] = {
+        "id": vm.id,
+        "role": vm.role.value,
+        "peer": format_address(vm.peer),
+        "domain": vm.domain,
+        "state": vm.state.value,
+    }
+    if vm.target is not None:
+        entry["target"] = {
+            "pool": vm.target.pool,
+            "address": format_address(vm.target.address),
+            "slots": vm.target.slots,
+            "warmup": vm.target.warmup,
+        }
+    return entry
+
+
+def _build_vm(entry: dict[str, Any]) -> Vm:
+    target = entry.get("target")
     return Vm(
         VmId(_check_text(entry["id"])),
         Role(entry["role"]),
-        peer,
+        _check_address(entry["peer"]),
         DomainId(_check_text(entry["domain"])),
         VmState(entry["state"]),
+        None if target is None else _build_registration(target),
     )
 
 
+def _build_registration(entry: dict[str, Any]) -> Registration:
+    slots, warmup = entry["slots"], float(entry["warmup"])
+    if not isinstance(slots, int) or not 0 < slots <= MAX_SLOTS:
+        raise ValueError(f"{slots!r} slots")
+    if not 0 <= warmup <= MAX_WARMUP_S:
+        raise ValueError(f"warmup of {warmup!r} s")
+    return Registration(
+        PoolId(_check_text(entry["pool"])),
+        _check_address(entry["address"]),
+        slots,
+        warmup,
+    )
+
+
+def _check_address(value: str) -> Address:
+    address = parse_address(value)
+    # A name in place of an address would be resolved at each datagram.
+    socket.inet_pton(socket.AF_INET, address[0])
+    if not 0 < address[1] < 65_536:
+        raise ValueError(f"port {address[1]}")
+    return address
+
+
 def _check_text(value: str) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} in place of a text")
--- /dev/null
+++ b/jujuberun/request_parts.py
@@ -0,0 +1,131 @@
+"""Parts of a daemon whose agents end the flows of their services."""
+
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+from aioquic.quic.configuration import QuicConfiguration
+
+from jujuberun.admission import Admission
+from jujuberun.agent import Agent
+from jujuberun.balancer import Balancer
+from jujuberun.beliefs import Beliefs
+from jujuberun.flows import DatagramFlow, Flow
+from jujuberun.generations import Generations
+from jujuberun.ids import Protocol, Role, ServiceId, VmState
+from jujuberun.kernel import Kernel
+from jujuberun.link import Link
+from jujuberun.loads import TargetLoad
+from jujuberun.manifest import Manifest, Service, Target
+from jujuberun.members import Members, VmList
+from jujuberun.offload import Offload
+from jujuberun.peers import Peers
+from jujuberun.port import SocketPort
+from jujuberun.quic import load_server_tls
+from jujuberun.runner import Runner
+from jujuberun.settings import Settings
+from jujuberun.streams import RequestFlow
+from jujuberun.wire import Cancel, Reserve, ReserveReply, Run
+
+
+def add_request_role(
+    kernel: Kernel, settings: Settings, manifest: Manifest
+) -> None:
+    """Adds the balancer, or the agent with its target and runner.
+
+    Args:
+        kernel: kernel with all parts but those of the role.
+        settings: checked settings.
+        manifest: the manifest in force.
+
+    Raises:
+        KeyError: the agent's target is not in the manifest.
+        RequestError: the certificate cannot be read.
+    """
+    match settings.role:
+        case Role.BALANCER:
+            kernel.register(Balancer.from_config(settings, kernel))
+        case Role.AGENT:
+            _add_agent(kernel, settings, manifest)
+
+
+def _add_agent(kernel: Kernel, settings: Settings, manifest: Manifest) -> None:
+    rng = random.Random()
+    name = settings.agent.target
+    target = manifest.targets[name]
+    peers: Peers = kernel.find("peers")
+    generations: Generations = kernel.find("generations")
+    members: Members = kernel.find("members")
+    link: Link = kernel.find("link")
+    beliefs = Beliefs(name, peers, generations, members, rng)
+    admission = Admission.from_config(target.slots, rng)
+    runner = Runner.from_config(target, admission, beliefs.note_exchange)
+
+    def find_service(service_id: ServiceId) -> Service | None:
+        service = generations.current.manifest.services.get(service_id)
+        if service is None or name not in service.targets:
+            return None
+        return service
+
+    offload = Offload(
+        runner,
+        link,
+        peers.send,
+        beliefs.find_idle_peers,
+        find_service,
+        anyio.current_time,
+    )
+    runner.use_offload(offload)
+    runner.choose_place = beliefs.choose_place
+    link.serve(Run, lambda m, _: offload.handle_run(m, anyio.current_time()))
+    peers.register(Reserve, offload.handle_reserve)
+    peers.register(ReserveReply, lambda m, a, _: offload.handle_reply(m, a))
+    peers.register(Cancel, lambda m, _, now: offload.handle_cancel(m, now))
+    agent = Agent(
+        name, peers, generations, beliefs, _make_opener(settings, runner)
+    )
+
+    def read_load() -> TargetLoad:
+        return TargetLoad(admission.busy, admission.queued, agent.count_flows())
+
+    def note_members(vm_list: VmList) -> None:
+        own = vm_list.vms.get(settings.vm)
+        if own is not None and own.state is VmState.LEAVING:
+            agent.refuse_new_flows()
+            runner.draining = True
+
+    beliefs.read_load = read_load
+    beliefs.is_draining = lambda: agent.draining
+    members.subscribe(note_members)
+    for part in (beliefs, runner, offload, agent):
+        kernel.register(part)
+
+
+def _make_opener(
+    settings: Settings, runner: Runner
+) -> Callable[[Service, Target, Callable[[bytes], None]], Flow]:
+    """Returns what opens a flow by the protocol of its service."""
+    tls: QuicConfiguration | None = None
+    if settings.agent.certificate:
+        tls = load_server_tls(
+            Path(settings.agent.certificate),
+            Path(settings.agent.private_key),
+        )
+
+    def open_flow(
+        service: Service, target: Target, send: Callable[[bytes], None]
+    ) -> Flow:
+        match service.protocol:
+            case Protocol.DATAGRAM:
+                port = SocketPort.connect(target.address)
+                idle_timeout = settings.agent.idle_timeout
+                return DatagramFlow(
+                    service, target.address, port, send, idle_timeout
+                )
+            case Protocol.REQUEST:
+                if tls is None:
+                    raise OSError(0, "settings name no agent.certificate")
+                return RequestFlow.from_config(service, send, runner, tls)
+
+    return open_flow
--- a/jujuberun/schema.py
+++ b/jujuberun/schema.py
@@ -75,10 +75,11 @@
 def _compile_object(schema: dict[str, Any]) -> Check:
     allowed = schema["description"]
     names = tuple(schema["properties"])
-    required = tuple(schema["required"])
-    if schema["additionalProperties"] or set(required) != set(names):
+    required = frozenset(schema["required"])
+    if schema["additionalProperties"] or not required <= set(names):
         raise ManifestError("compile schema", "object", "keys must be fixed")
     known = f"known keys: {', '.join(names)}"
+    known_names = frozenset(names)
     checks = [
         (name, compile_schema(inner), inner["description"])
         for name, inner in schema["properties"].items()
@@ -89,13 +90,15 @@
             return Problem((), value, allowed)
         for name, check_inner, about in checks:
             if name not in value:
+                if name not in required:
+                    continue
                 return Problem((name,), None, about, missing=True)
             problem = check_inner(value[name])
             if problem is not None:
                 return problem.move_into(name)
-        if len(value) > len(names):
-            name = next(key for key in value if key not in names)
-            return Problem((name,), value[name], known)
+        for name in value:
+            if name not in known_names:
+                return Problem((name,), value[name], known)
         return None
 
     return check
--- a/jujuberun/settings.py
+++ b/jujuberun/settings.py
@@ -10,19 +10,22 @@
 from result import Err, Ok, Result
 
 from jujuberun.errors import SettingsError
-from jujuberun.ids import Address, DomainId, Role, TargetId, VmId
+from jujuberun.ids import Address, DomainId, PoolId, Role, TargetId, VmId
 from jujuberun.manifest import format_address
 from jujuberun.values import (
     read_address,
     read_address_map,
     read_addresses,
     read_count,
+    read_flag,
     read_format,
     read_keys,
     read_level,
     read_name,
+    read_optional_address,
     read_optional_name,
     read_optional_text,
+    read_port,
     read_role,
     read_seconds,
     read_text,
@@ -61,6 +64,23 @@
     vms: str = _define(
         read_optional_text, "VM list file, when there is no URL.", ""
     )
+    lists_balancers: bool = _define(
+        read_flag,
+        "Whether the VM list names the balancers; if not, they find each "
+        "other through the seeds.",
+        True,
+    )
+    watch_wait: float = _define(
+        read_seconds, "Seconds that a watch waits for news.", 25.0
+    )
+    start_spread: float = _define(
+        read_seconds,
+        "Seconds over which processes that start together spread their reads.",
+        5.0,
+    )
+    retry_limit: float = _define(
+        read_seconds, "Longest pause after failed reads, in seconds.", 10.0
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +120,33 @@
         "Seconds that a graceful stop goes on forwarding.",
         2.0,
     )
+    drain_limit: float = _define(
+        read_seconds, "Seconds that a graceful stop takes at most.", 30.0
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class PacketSettings:
+    """Addresses for services of protocol packet."""
+
+    address: Address | None = _define(
+        read_optional_address,
+        "Address for packets of callers and other daemons, UDP.",
+        None,
+    )
+    outbound: Address | None = _define(
+        read_optional_address,
+        "Agent: address to which the target sends its packets.",
+        None,
+    )
+    target: Address | None = _define(
+        read_optional_address,
+        "Agent: address at which the target takes packets.",
+        None,
+    )
+    pool: PoolId = _define(
+        read_optional_name, "Agent: pool that its target serves.", PoolId("")
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +180,12 @@
     seeds: tuple[Address, ...] = _define(
         read_addresses, "Peers to ask first, while no VM list is known.", ()
     )
+    seed_port: int = _define(
+        read_port,
+        "Peer port of the seeds, in place of the ports that they are listed "
+        "with; 0 keeps those.",
+        0,
+    )
     addresses: dict[Address, Address] = _define(
         read_address_map,
         "Local address to bind in place of a service's address.",
@@ -141,6 +194,7 @@
     platform: PlatformSettings = field(default_factory=PlatformSettings)
     agent: AgentSettings = field(default_factory=AgentSettings)
     balancer: BalancerSettings = field(default_factory=BalancerSettings)
+    packet: PacketSettings = field(default_factory=PacketSettings)
     log: LogSettings = field(default_factory=LogSettings)
 
 
@@ -180,8 +234,12 @@
             return ""
         case (str() as host, int() as port):
             return f'"{host}:{port}"'
+        case None:
+            return '""'
         case tuple():
             return "[]"
+        case bool() as flag:
+            return str(flag).lower()
         case str() as text:
             return f'"{text}"'
         case number:
@@ -243,8 +301,11 @@
         raise _KeyError("platform", "needs url or manifest")
     if platform.url and (platform.manifest or platform.vms):
         raise _KeyError("platform", "takes either url or files, not both")
-    if settings.role is Role.AGENT and not agent.target:
-        raise _KeyError("agent.target", "is missing; name its target")
+    if settings.packet.address is None:
+        if settings.role is Role.AGENT and not agent.target:
+            raise _KeyError("agent.target", "is missing; name its target")
+    elif settings.role is Role.AGENT:
+        _check_packet_agent(settings.packet)
     if agent.certificate and not agent.private_key:
         raise _KeyError("agent.private_key", "is missing; name its file")
     if agent.private_key and not agent.certificate:
@@ -254,6 +315,15 @@
     _check_local_addresses(settings)
 
 
+def _check_packet_agent(packet: PacketSettings) -> None:
+    if packet.outbound is None:
+        raise _KeyError("packet.outbound", "is missing; use an address")
+    if packet.target is None:
+        raise _KeyError("packet.target", "is missing; use an address")
+    if not packet.pool:
+        raise _KeyError("packet.pool", "is missing; name the target's pool")
+
+
 def _check_local_addresses(settings: Settings) -> None:
     taken: dict[Address, Address] = {}
     for address, local in settings.addresses.items():
--- a/jujuberun/source.py
+++ b/jujuberun/source.py
@@ -88,14 +88,17 @@
     )
 
 
-def choose_backoff(attempt: int, rng: random.Random) -> float:
+def choose_backoff(
+    attempt: int, rng: random.Random, most: float = BACKOFF_LIMIT_S
+) -> float:
     """Returns the seconds to wait after failures: exponential, full jitter.
 
     Args:
         attempt: failures in a row, from 1.
         rng: source of the jitter.
+        most: longest wait, seconds.
     """
-    limit = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** min(attempt, 16))
+    limit = min(most, BACKOFF_BASE_S * 2 ** min(attempt, 16))
     return rng.uniform(0, limit)
 
 
--- a/jujuberun/spread.py
+++ b/jujuberun/spread.py
@@ -18,9 +18,10 @@
 from jujuberun.link import Link
 from jujuberun.manifest import format_address
 from jujuberun.members import Members, VmList
+from jujuberun.roster import Roster
 from jujuberun.source import Kind, Source
 from jujuberun.transfer import Store, Transfer
-from jujuberun.watch import Watch
+from jujuberun.watch import Fleet, ReadPace, Watch
 from jujuberun.wire import Status
 
 GOSSIP_PERIOD_S = 1.0
@@ -66,6 +67,8 @@
         source: Source | None = None,
         rng: random.Random | None = None,
         read_clock: Callable[[], float] = time.monotonic,
+        roster: Roster | None = None,
+        pace: ReadPace | None = None,
     ) -> None:
         """Builds the part; its link must not serve Fetch yet.
 
@@ -79,6 +82,8 @@
             source: the platform, None when it is not read.
             rng: choice of peers and jitter.
             read_clock: seconds, monotonic.
+            roster: the other processes, when the VM list does not name them.
+            pace: how often the platform is read.
         """
         self.collect_loads: Callable[[], list[Any]] = list
         self.counts: Counter[str] = Counter()
@@ -86,6 +91,8 @@
         self._seeds = tuple(s for s in seeds if s != link.address)
         self._generations = generations
         self._members = members
+        self._roster = roster
+        self._fleet: Fleet = roster or members
         self._send = send
         self._rng = rng or random.Random()
         self._read_clock = read_clock
@@ -99,7 +106,13 @@
         if source is not None:
             self._watches = [
                 Watch(
-                    kind, source, store, members, self._rng, bool(self._seeds)
+                    kind,
+                    source,
+                    store,
+                    self._fleet,
+                    self._rng,
+                    bool(self._seeds),
+                    pace or ReadPace(),
                 )
                 for kind, store in self._stores.items()
             ]
@@ -139,6 +152,8 @@
         if status.generation is None or status.vm_index is None:
             self.counts["malformed"] += 1
             return
+        if self._roster is not None:
+            self._roster.note_status(status, sender, now)
         ahead = self._compare(
             Kind.MANIFEST, status.generation, status.digest, sender, now
         )
@@ -163,6 +178,7 @@
             now: seconds, monotonic.
         """
         last, self._last_tick = self._last_tick, now
+        self._refresh_roster(now)
         if last is None or now - last > MAX_GAP_S:
             if last is not None:
                 logger.warning("spread: paused for %.1f s", now - last)
@@ -215,7 +231,8 @@
             "generation": self._generations.position,
             "vm_index": self._members.position,
             "confirmed": self.is_confirmed,
-            "peers": len(self._members.peers),
+            "peers": len(self._fleet.peers),
+            "roster": self._roster.describe() if self._roster else None,
             "counts": dict(self.counts),
             "history_added": self._transfer.history_added,
             "history_complete": self._transfer.history_complete,
@@ -223,6 +240,16 @@
             "platform_errors": [w.last_error for w in self._watches],
         }
 
+    def _refresh_roster(self, now: float) -> None:
+        """Lets time pass for the roster; its watchers change with it."""
+        if self._roster is None:
+            return
+        self._roster.set_time(now)
+        for watch in self._watches:
+            if watch.read_at is not None:
+                self._roster.note_read(watch.read_at)
+            watch.note_members()
+
     def _compare(
         self,
         kind: Kind,
@@ -270,20 +297,23 @@
     def _repeat_ask(self, now: float) -> None:
         self._last_ask = now
         peers = self._choose_peers(PUSH_PEERS)
-        if self._seeds and self._members.peers:
+        if self._list_seeds() and self._fleet.peers:
             # The VM list may be older than the replacement of all its VMs.
-            peers.append(self._rng.choice(self._seeds))
+            peers.append(self._rng.choice(self._list_seeds()))
         if not peers:
             self._confirm()
         self._send_status(peers, asks=self._token)
 
     def _choose_peers(self, count: int) -> list[Address]:
-        known = self._members.peers
+        known = self._fleet.peers
         if not known:
             # A fleet that starts without a VM list asks only the seeds.
-            known, count = self._seeds, 1
+            known, count = self._list_seeds(), 1
         return self._rng.sample(known, min(count, len(known)))
 
+    def _list_seeds(self) -> tuple[Address, ...]:
+        return self._seeds if self._roster is None else self._roster.seeds
+
     def _send_status(
         self,
         peers: Sequence[Address],
@@ -303,6 +333,10 @@
             asks,
             replies,
         )
+        if self._roster is not None:
+            now = self._read_clock()
+            status.sightings = self._roster.choose_sightings(now, self._rng)
+            status.read_age = self._roster.compute_read_age(now)
         for peer in peers:
             self.counts["sent"] += 1
             self._send(status, peer)
--- a/jujuberun/transfer.py
+++ b/jujuberun/transfer.py
@@ -27,7 +27,9 @@
     HistoryEntry,
 )
 
-FETCH_TIMEOUT_S = 3.0
+# A manifest is to be in force within 3 s, so a silent peer must leave time to
+# ask another one.
+FETCH_TIMEOUT_S = 1.0
 _MAX_HISTORY_BYTES = 1_500_000  # of packed documents in one reply
 _MAX_PACKED = 32  # replies kept for peers that hold the same base
 
--- a/jujuberun/values.py
+++ b/jujuberun/values.py
@@ -15,6 +15,10 @@
     f"a list of one or two keys of {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes in "
     "hex"
 )
+# A platform that hands out no secrets: the MAC then finds damaged messages
+# and those of other fleets, but no forged ones.
+UNKEYED = "unkeyed"
+_UNKEYED_KEY = b"jujuberun unkeyed fleet"
 # int() would also take signs, spaces, underscores and digits of any script.
 _ADDRESS = re.compile(r"[0-9.]{7,15}:(0|[1-9][0-9]{0,4})")
 _URL = re.compile(r"(https?://[!-~]+)?")
@@ -91,6 +95,11 @@
     return host, int(port)
 
 
+def read_optional_address(value: Any) -> Address | None:
+    """Reads an address, or an empty text for none."""
+    return None if value == "" else read_address(value)
+
+
 def read_addresses(value: Any) -> tuple[Address, ...]:
     """Reads a list of addresses."""
     if not isinstance(value, list):
@@ -106,7 +115,9 @@
 
 
 def read_keys(value: Any) -> tuple[bytes, ...]:
-    """Reads the keys of the MAC."""
+    """Reads the keys of the MAC, or UNKEYED for a network without any."""
+    if value == UNKEYED:
+        return (_UNKEYED_KEY,)
     if not isinstance(value, list) or not 1 <= len(value) <= 2:
         raise ValueError(_KEYS_REMEDY)
     return tuple(read_key(entry) for entry in value)
@@ -156,6 +167,22 @@
     return value
 
 
+def read_port(value: Any) -> int:
+    """Reads a port, 0 for none."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError("a port from 0 to 65535")
+    if not 0 <= value <= 65_535:
+        raise ValueError("a port from 0 to 65535")
+    return value
+
+
+def read_flag(value: Any) -> bool:
+    """Reads true or false."""
+    if not isinstance(value, bool):
+        raise ValueError("true or false")
+    return value
+
+
 def show(value: Any, secret: bool) -> str:
     """Returns a wrong value for an error, short and in one line."""
     if secret:
--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -44,10 +44,12 @@
     str(resources.files("jujuberun").joinpath("jujuberun.thrift")),
     module_name="jujuberun_thrift",
 )
+Accepted = messages.Accepted
 Answer = messages.Answer
 Cancel = messages.Cancel
 Claim = messages.Claim
 ClaimReply = messages.ClaimReply
+Declined = messages.Declined
 Document = messages.Document
 Envelope = messages.Envelope
 Fetch = messages.Fetch
@@ -71,6 +73,7 @@
 Reset = messages.Reset
 Run = messages.Run
 RunReply = messages.RunReply
+Sighting = messages.Sighting
 Status = messages.Status
 
 _FIELDS = {
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,12 +7,13 @@
 from test_settings import good_document
 from testtools import TestCase
 
-from jujuberun.assembly import add_role, assemble
+from jujuberun.assembly import Network, add_role, assemble
 from jujuberun.kernel import Kernel
 from jujuberun.manifest import parse_manifest
 from jujuberun.metrics import MAX_LABEL_VALUES, Metrics
 from jujuberun.readings import PREFIX, list_metrics
 from jujuberun.settings import parse_settings
+from jujuberun.source import make_source
 
 STATES = {
     "generations": {"generation": 4, "in_force_for_s": 2.5, "refused": []},
@@ -142,8 +143,10 @@
         data = json.dumps({**VALID, "services": [service]}).encode()
 
         async def run():
-            kernel = await assemble(settings)
-            add_role(kernel, settings, parse_manifest(data).unwrap())
+            network = Network(make_source(settings.platform, settings.vm))
+            kernel = assemble(settings, network)
+            manifest = parse_manifest(data).unwrap()
+            add_role(kernel, settings, network, manifest)
             return scrape(kernel.find("metrics"))
 
         return anyio.run(run)
