Queue at a trusted target before trying a suspected one

Found by the first tests of the packet path: with two targets, one silent and one busy, starts went to the silent one until the offer timed out, because busy targets counted as unusable once they had declined.

--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -10,10 +10,10 @@
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
 from jujuberun.frames import Frame, FrameCodec, find_caller, find_service
 from jujuberun.generations import Generations, Version
-from jujuberun.ids import Address, DomainId, PoolId, Protocol
+from jujuberun.ids import Address, DomainId, PoolId, Protocol, TargetId
 from jujuberun.logs import find_logger
 from jujuberun.manifest import Service, format_address
-from jujuberun.members import Members
+from jujuberun.members import Members, VmList
 from jujuberun.peers import Peers
 from jujuberun.port import Port
 from jujuberun.steering import (
@@ -99,14 +99,16 @@
     ) -> None:
         """Carries packets until cancelled."""
         now = anyio.current_time()
-        self._generations.subscribe(self._note_version)
+        self._generations.subscribe(
+            lambda version: self.take_version(version, anyio.current_time())
+        )
         self._members.subscribe(
-            lambda vms: self._steering.update(vms, anyio.current_time())
+            lambda vms: self.take_targets(vms, anyio.current_time())
         )
         self.used = now
         async with anyio.create_task_group() as group:
             group.start_soon(self._maintain)
-            group.start_soon(self._check_offers)
+            group.start_soon(self._follow_offers)
             task_status.started()
             while True:
                 batch = await self._port.receive()
@@ -185,8 +187,12 @@
             "targets": self._steering.describe(now),
         }
 
-    def _note_version(self, version: Version) -> None:
-        now = anyio.current_time()
+    def take_targets(self, vm_list: VmList, now: float) -> None:
+        """Takes a new list of registered targets."""
+        self._steering.update(vm_list, now)
+
+    def take_version(self, version: Version, now: float) -> None:
+        """Takes the manifest that has come into force."""
         self._version = version
         services = {
             service.address: service
@@ -257,24 +263,10 @@
     def _offer(self, entry: FlowEntry, now: float) -> None:
         """Offers a start to a target, or refuses it if there is none."""
         tried = {offer.target for offer in entry.offers}
-        closed = entry.refused | tried | entry.declined
-        room = None
-        candidate = None
-        if len(entry.declined) < MAX_DECLINES:
-            candidate = self._steering.choose(
-                entry.pools, entry.key, closed, now
-            )
-        if candidate is None:
-            # All are busy: the one with the shortest queue has to take it.
-            room = ROOM_ANY
-            candidate = self._steering.choose(
-                entry.pools, entry.key, entry.refused | tried, now
-            )
+        candidate, room = self._choose_target(entry, entry.refused | tried, now)
         if candidate is None or len(tried) >= MAX_OFFERS:
             self._give_up_start(entry, now)
             return
-        if room is None:
-            room = min(candidate.slots, ROOM_ANY - 1)
         offer = Offer(candidate.id, now)
         entry.offers.append(offer)
         self._steering.note_offer(candidate)
@@ -283,6 +275,24 @@
             self._offered.set()
         self._pending.append((now + OFFER_TIMEOUT_S, entry, offer))
 
+    def _choose_target(
+        self, entry: FlowEntry, closed: set[TargetId], now: float
+    ) -> tuple[Candidate | None, int]:
+        """Returns the target to offer a start to, and the room it must have.
+
+        A target with a free slot comes first, then the one with the shortest
+        queue, and one that is suspected only when there is no other.
+        """
+        choose = self._steering.choose
+        if len(entry.declined) < MAX_DECLINES:
+            free = choose(entry.pools, entry.key, closed | entry.declined, now)
+            if free is not None:
+                return free, min(free.slots, ROOM_ANY - 1)
+        queue = choose(entry.pools, entry.key, closed, now)
+        if queue is None:
+            queue = choose(entry.pools, entry.key, closed, now, trust_all=True)
+        return queue, ROOM_ANY
+
     def _send_start(
         self, entry: FlowEntry, candidate: Candidate, room: int
     ) -> None:
@@ -475,28 +485,22 @@
         self._steering.note_report(candidate, message.busy, service_time, now)
         return candidate
 
-    async def _check_offers(self) -> None:
-        """Offers starts anew that no agent confirmed in time."""
+    async def _follow_offers(self) -> None:
         while True:
             if not self._pending:
                 self._offered = anyio.Event()
                 await self._offered.wait()
-            due = self._pending[0][0]
-            now = anyio.current_time()
-            if due > now:
-                await anyio.sleep(due - now)
-                continue
-            _, entry, offer = self._pending.popleft()
-            self.check_offer(entry, offer, now)
+            await anyio.sleep(self._pending[0][0] - anyio.current_time())
+            self.check_offers(anyio.current_time())
 
-    def check_offer(self, entry: FlowEntry, offer: Offer, now: float) -> None:
-        """Offers a start to another target unless this offer was answered.
+    def check_offers(self, now: float) -> None:
+        """Offers starts anew that no agent confirmed in time."""
+        while self._pending and self._pending[0][0] <= now:
+            _, entry, offer = self._pending.popleft()
+            self._check_offer(entry, offer, now)
 
-        Args:
-            entry: the flow.
-            offer: the offer whose time is over.
-            now: seconds, monotonic.
-        """
+    def _check_offer(self, entry: FlowEntry, offer: Offer, now: float) -> None:
+        """Offers a start to another target unless this offer was answered."""
         if offer.sequence is not None or offer not in entry.offers:
             return
         offer.missed = True
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -112,6 +112,7 @@
         key: bytes,
         excluded: Collection[TargetId],
         now: float,
+        trust_all: bool = False,
     ) -> Candidate | None:
         """Returns the target that should take a new flow.
 
@@ -124,6 +125,7 @@
             key: key of the flow.
             excluded: targets that cannot take it.
             now: seconds, monotonic.
+            trust_all: whether a suspected target may be chosen.
         """
         pool = choose_pool(pools, key)
         usable = [
@@ -132,14 +134,13 @@
             if candidate.left is None
             and not candidate.leaving
             and candidate.id not in excluded
+            and (trust_all or candidate.suspected_until <= now)
         ]
         if not usable:
             return None
-        trusted = [c for c in usable if c.suspected_until <= now]
-        chosen = trusted or usable
-        usual = _find_median(chosen)
+        usual = _find_median(usable)
         return min(
-            chosen,
+            usable,
             key=lambda candidate: (
                 self._estimate(candidate, usual, now),
                 candidate.domain != self._domain,
--- /dev/null
+++ b/tests/packetpath.py
@@ -0,0 +1,315 @@
+"""Callers, balancers, agents and targets of packet flows, in one thread.
+
+Packets travel 1 ms. Targets follow the rules of the network: they answer a
+start, take packets of the flows they hold, and return all others.
+"""
+
+import heapq
+import random
+import sys
+from pathlib import Path
+from types import SimpleNamespace
+
+from jujuberun.ids import DomainId, Generation, PoolId, Role, VmId, VmState
+from jujuberun.manifest import (
+    FirstPacket,
+    FirstPacketRule,
+    Manifest,
+    PoolShare,
+    Protocol,
+    Service,
+    Urgency,
+)
+from jujuberun.members import Registration, Vm, VmList
+from jujuberun.relay import Relay
+from jujuberun.sidecar import Sidecar
+from jujuberun.steering import OFFER_TIMEOUT_S
+
+sys.path.append(str(Path(__file__).parent.parent / "platform"))
+
+from adapter.packets import _HEADER, PacketCodec  # noqa: E402
+
+PORT = 8172
+PEER_PORT = 7720
+TARGET_PORT = 8165
+OUTBOUND_PORT = 8162
+ADDRESS = ("198.18.0.1", 443)
+POOL = PoolId("counts")
+SYN, ACK, FIN, RST, BOUNCED = 64, 1, 16, 8, 128
+CODEC = PacketCodec()
+
+
+def pack(source, target, flags, sequence=0, acknowledged=0, data=b""):
+    """Returns a packet between two addresses."""
+    return (
+        _HEADER.pack(
+            sequence,
+            acknowledged,
+            len(data),
+            bytes(map(int, source[0].split("."))),
+            bytes(map(int, target[0].split("."))),
+            target[1].to_bytes(2, "big"),
+            source[1].to_bytes(2, "big"),
+            flags,
+            0,
+            b"\0\0\0\0",
+            0,
+        )
+        + data
+    )
+
+
+def make_service(name="r-1", address=ADDRESS, pool=POOL, **changes):
+    return Service(
+        id=name,
+        address=address,
+        urgency=Urgency.NORMAL,
+        headroom=1.0,
+        protocol=Protocol.PACKET,
+        first_packet=FirstPacket(FirstPacketRule.ANY),
+        targets=(),
+        pools=(PoolShare(pool, 1),),
+        **changes,
+    )
+
+
+def make_vm(host, name=None, pool=POOL, state=VmState.LIVE, slots=2):
+    registration = Registration(pool, (host, TARGET_PORT), slots, 0.0)
+    return Vm(
+        VmId(name or f"t-{host}"),
+        Role.AGENT,
+        (host, PORT),
+        DomainId("a"),
+        state,
+        registration,
+    )
+
+
+class FakePort:
+    def __init__(self, net, address):
+        self.net, self.address = net, address
+
+    def send(self, data, address):
+        self.net.carry(data, self.address, address)
+        return True
+
+
+class FakePeers:
+    """Carries messages between daemons without their encoding."""
+
+    def __init__(self, net, host):
+        self.net, self.address = net, (host, PEER_PORT)
+        self.handlers = {}
+
+    def register(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def subscribe_pauses(self, listener):
+        self.on_pause = listener
+
+    def send(self, message, address):
+        self.net.carry(message, self.address, address)
+
+    def take(self, message, sender, now):
+        self.handlers[type(message)](message, sender, now)
+
+
+class Balancer:
+    def __init__(self, net, host):
+        self.host = host
+        peers = FakePeers(net, host)
+        generations = SimpleNamespace(subscribe=lambda listener: None)
+        members = SimpleNamespace(subscribe=lambda listener: None, text=b"x")
+        port = FakePort(net, (host, PORT))
+        self.relay = Relay(
+            port, CODEC, peers, generations, members, DomainId("a"), 1000
+        )
+        net.listeners[host, PORT] = lambda data, sender: self.relay.carry(
+            [(data, sender)], net.now
+        )
+        net.listeners[host, PEER_PORT] = lambda data, sender: peers.take(
+            data, sender, net.now
+        )
+
+    def learn(self, services, vms, now, generation=1):
+        manifest = Manifest(
+            Generation(generation), {s.id: s for s in services}, {}
+        )
+        self.relay.take_version(SimpleNamespace(manifest=manifest), now)
+        self.relay.take_targets(VmList(1, {vm.id: vm for vm in vms}), now)
+
+
+class Target:
+    """A target with its agent; it holds flows by their key."""
+
+    def __init__(self, net, host, pool=POOL):
+        self.net, self.host, self.pool = net, host, pool
+        self.flows, self.ran, self.strangers = {}, [], 0
+        self.full = self.dead = False
+        self.address = (host, TARGET_PORT)
+        self.outbound = (host, OUTBOUND_PORT)
+        net.listeners[self.address] = self.take
+        self.start_agent()
+
+    def start_agent(self):
+        peers = FakePeers(self.net, self.host)
+        port = FakePort(self.net, (self.host, PORT))
+        outbound = FakePort(self.net, self.outbound)
+        self.sidecar = Sidecar(
+            port, outbound, self.address, self.pool, CODEC, peers
+        )
+        net = self.net
+        net.listeners[self.host, PORT] = lambda data, sender: (
+            self.sidecar.deliver([(data, sender)], net.now)
+        )
+        net.listeners[self.outbound] = lambda data, sender: (
+            self.sidecar.send_back([(data, sender)], net.now)
+        )
+
+    def stop_agent(self):
+        del self.net.listeners[self.host, PORT]
+        del self.net.listeners[self.outbound]
+
+    def take(self, data, sender):
+        if self.dead:
+            return
+        frame = CODEC.read_request(data)
+        caller, service = unpack(frame.key)
+        state = self.flows.get(frame.key)
+        if frame.starts and state is None and not self.full:
+            state = self.flows[frame.key] = self.net.rng.getrandbits(32)
+        if frame.starts and state is not None:
+            self.answer(service, caller, SYN | ACK, state, 0)
+            return
+        near = state is not None and (frame.acknowledged - state) % 2**32 < 99
+        if not near:
+            self.strangers += not frame.starts
+            self.net.carry(CODEC.set_bounced(data), self.address, self.outbound)
+            return
+        if frame.size:
+            self.ran.append((frame.key, data[32:]))
+            self.answer(service, caller, ACK, state + 1, 0, b"done")
+
+    def answer(self, service, caller, flags, sequence, acknowledged, data=b""):
+        packet = pack(service, caller, flags, sequence, acknowledged, data)
+        self.net.carry(packet, self.address, self.outbound)
+
+
+def unpack(key):
+    host = ".".join(map(str, key[:4]))
+    other = ".".join(map(str, key[6:10]))
+    return (
+        (host, int.from_bytes(key[4:6], "big")),
+        (other, int.from_bytes(key[10:12], "big")),
+    )
+
+
+class Caller:
+    """One flow of a caller; the balancer of each packet is chosen by hand."""
+
+    def __init__(self, net, number, address=ADDRESS):
+        self.net, self.service = net, address
+        self.address = ("100.64.0.7", 40_000 + number)
+        self.sequence = 1000 * number
+        self.accepted, self.answers, self.resets = None, 0, 0
+        net.callers[self.address] = self.take
+
+    def start(self, balancer, copy=0):
+        packet = pack(self.address, self.service, SYN, self.sequence, copy)
+        self.net.carry(packet, ("router", 1), (balancer.host, PORT))
+
+    def ask(self, balancer, data=b"work"):
+        packet = pack(
+            self.address,
+            self.service,
+            ACK,
+            self.sequence + 1,
+            (self.accepted + 1) % 2**32,
+            data,
+        )
+        self.net.carry(packet, ("router", 1), (balancer.host, PORT))
+
+    def take(self, frame):
+        if frame.resets:
+            self.resets += 1
+        elif frame.starts:
+            if self.accepted is None:
+                self.accepted = frame.sequence
+        elif frame.size:
+            self.answers += 1
+
+
+class PacketNet:
+    """Carries packets and messages, each in 1 ms."""
+
+    def __init__(self, seed=1):
+        self.now, self.rng = 100.0, random.Random(seed)
+        self.listeners, self.callers = {}, {}
+        self.queue, self.count = [], 0
+        self.silent = set()  # hosts that take nothing
+
+    def carry(self, data, sender, address):
+        self.count += 1
+        entry = (self.now + 0.001, self.count, data, sender, address)
+        heapq.heappush(self.queue, entry)
+
+    def run(self, seconds=0.03):
+        """Carries what is due within so many seconds."""
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            at, _, data, sender, address = heapq.heappop(self.queue)
+            self.now = at
+            self._hand_over(data, sender, address)
+        self.now = end
+
+    def _hand_over(self, data, sender, address):
+        if address[0] in self.silent:
+            return
+        if isinstance(data, bytes) and address[0].startswith("100.64."):
+            frame = CODEC.read_answer(data)
+            caller, _ = unpack(frame.key)
+            self.callers[caller](frame)
+            return
+        listener = self.listeners.get(address)
+        if listener is not None:
+            listener(data, sender)
+
+
+class Fleet:
+    """Balancers and targets of one service."""
+
+    def __init__(self, balancers=2, targets=3, slots=2, seed=1):
+        self.net = PacketNet(seed)
+        self.balancers = [
+            Balancer(self.net, f"10.1.0.{n}") for n in range(balancers)
+        ]
+        self.targets = [Target(self.net, f"10.2.0.{n}") for n in range(targets)]
+        self.services = [make_service()]
+        self.vms = [make_vm(t.host, slots=slots) for t in self.targets]
+        self.teach()
+
+    def teach(self, generation=1):
+        """Gives all balancers the present services and targets."""
+        for balancer in self.balancers:
+            balancer.learn(self.services, self.vms, self.net.now, generation)
+
+    def restart_balancer(self, index):
+        """Replaces a balancer by one that knows no flows."""
+        balancer = Balancer(self.net, self.balancers[index].host)
+        self.balancers[index] = balancer
+        balancer.learn(self.services, self.vms, self.net.now)
+
+    def check_offers(self, seconds=OFFER_TIMEOUT_S + 0.01):
+        """Lets the time for a confirmation pass at all balancers."""
+        self.net.run(seconds)
+        for balancer in self.balancers:
+            balancer.relay.check_offers(self.net.now)
+        self.net.run()
+
+    def find_holder(self, caller):
+        """Returns the target that ran a caller's requests."""
+        for target in self.targets:
+            for key, _ in target.ran:
+                if unpack(key)[0] == caller.address:
+                    return target
+        return None
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,219 @@
+"""Tests of packet flows through balancers, agents and targets."""
+
+import testtools
+from packetpath import ADDRESS, PORT, Caller, Fleet, Target, make_vm
+
+from jujuberun.ids import PoolId, VmState
+
+
+class RelayTest(testtools.TestCase):
+    def open_flow(self, fleet, number=1, balancer=0):
+        caller = Caller(fleet.net, number)
+        caller.start(fleet.balancers[balancer])
+        fleet.net.run()
+        self.assertIsNotNone(caller.accepted)
+        return caller
+
+    def ask(self, fleet, caller, balancer=0):
+        """Sends one request and expects one answer."""
+        answers = caller.answers
+        caller.ask(fleet.balancers[balancer])
+        fleet.net.run()
+        self.assertEqual(answers + 1, caller.answers)
+
+    def test_flow_is_carried_there_and_back(self):
+        fleet = Fleet()
+        caller = self.open_flow(fleet)
+        self.ask(fleet, caller)
+        self.assertEqual(1, sum(len(t.flows) for t in fleet.targets))
+
+    def test_open_flow_goes_on_at_another_balancer(self):
+        # Guards against flows that break when a balancer joins or leaves:
+        # the network then sends nearly all flows to another one.
+        fleet = Fleet(targets=7)
+        for number in range(1, 40):
+            caller = self.open_flow(fleet, number)
+            self.ask(fleet, caller, balancer=1)
+            self.ask(fleet, caller, balancer=1)
+            self.assertEqual(0, caller.resets)
+
+    def test_open_flow_goes_on_after_all_daemons_restarted(self):
+        # Guards against state that only a daemon holds.
+        fleet = Fleet()
+        callers = [self.open_flow(fleet, n) for n in range(1, 20)]
+        for index in range(len(fleet.balancers)):
+            fleet.restart_balancer(index)
+        for target in fleet.targets:
+            target.stop_agent()
+            target.start_agent()
+        for caller in callers:
+            self.ask(fleet, caller)
+            self.assertEqual(0, caller.resets)
+
+    def test_open_flow_goes_on_when_targets_are_added(self):
+        # Guards against a choice that depends on the present set of targets.
+        fleet = Fleet(targets=2)
+        callers = [self.open_flow(fleet, n) for n in range(1, 20)]
+        for number in range(2, 6):
+            host = f"10.2.0.{number}"
+            fleet.targets.append(Target(fleet.net, host))
+            fleet.vms.append(make_vm(host))
+        fleet.teach()
+        for caller in callers:
+            self.ask(fleet, caller, balancer=1)
+
+    def test_flow_stays_at_a_target_that_left_the_list(self):
+        fleet = Fleet()
+        caller = self.open_flow(fleet)
+        self.ask(fleet, caller)
+        fleet.vms = []
+        fleet.teach()
+        self.ask(fleet, caller)
+        self.ask(fleet, caller, balancer=1)
+
+    def test_start_is_offered_again_when_a_vm_is_silent(self):
+        # Guards against a caller that waits for the copy of its start while
+        # other targets are idle.
+        fleet = Fleet(balancers=1, slots=20)
+        fleet.net.silent = {t.host for t in fleet.targets[1:]}
+        callers = [Caller(fleet.net, n) for n in range(1, 10)]
+        for caller in callers:
+            caller.start(fleet.balancers[0])
+        fleet.check_offers()
+        fleet.check_offers()
+        for caller in callers:
+            self.assertIsNotNone(caller.accepted)
+            self.ask(fleet, caller)
+
+    def test_silent_target_is_suspected(self):
+        fleet = Fleet(balancers=1, targets=2)
+        fleet.net.silent = {fleet.targets[1].host}
+        for number in range(1, 12):
+            Caller(fleet.net, number).start(fleet.balancers[0])
+            fleet.check_offers()
+        relay = fleet.balancers[0].relay
+        self.assertGreater(relay.counts["suspicions"], 0)
+        again = relay.counts["starts_offered_again"]
+        self.open_flow(fleet, 99)
+        self.assertEqual(again, relay.counts["starts_offered_again"])
+
+    def test_two_targets_accepted_copies_of_one_start(self):
+        # Guards against packets that follow the last answer rather than the
+        # one that the caller took.
+        for first in (0, 1):
+            fleet = Fleet(targets=2)
+            caller = Caller(fleet.net, 1)
+            caller.start(fleet.balancers[0])
+            caller.start(fleet.balancers[1], copy=1)
+            fleet.net.run()
+            self.ask(fleet, caller, balancer=first)
+            self.ask(fleet, caller, balancer=1 - first)
+            self.assertEqual(0, caller.resets)
+            holders = [t for t in fleet.targets if t.ran]
+            self.assertEqual(1, len(holders))
+
+    def test_copy_of_a_start_goes_to_the_same_target(self):
+        fleet = Fleet(balancers=1)
+        caller = self.open_flow(fleet)
+        caller.start(fleet.balancers[0], copy=1)
+        fleet.net.run()
+        self.assertEqual(1, sum(len(t.flows) for t in fleet.targets))
+
+    def test_leaving_target_takes_no_start(self):
+        # Guards against work for a target that is being drained, also by
+        # copies of a start that it took before.
+        fleet = Fleet(balancers=1, targets=2)
+        caller = self.open_flow(fleet)
+        first = next(t for t in fleet.targets if t.flows)
+        fleet.vms = [
+            make_vm(
+                t.host,
+                state=VmState.LEAVING if t is first else VmState.LIVE,
+            )
+            for t in fleet.targets
+        ]
+        fleet.teach()
+        before = dict(first.flows)
+        caller.start(fleet.balancers[0], copy=1)
+        for number in range(2, 10):
+            self.open_flow(fleet, number)
+        self.assertEqual(before, first.flows)
+
+    def test_address_of_another_pool_is_not_used(self):
+        # Guards against packets that reach the service which has taken over
+        # the address of a target: here the list is still the old one.
+        fleet = Fleet(balancers=1, targets=2)
+        other = fleet.targets[0]
+        other.stop_agent()
+        other.pool = PoolId("labels")
+        other.start_agent()
+        for number in range(1, 12):
+            caller = self.open_flow(fleet, number)
+            self.ask(fleet, caller)
+        self.assertEqual({}, other.flows)
+
+    def test_start_is_refused_when_all_targets_return_it(self):
+        # Guards against a caller that waits until its start times out.
+        fleet = Fleet(balancers=1)
+        for target in fleet.targets:
+            target.full = True
+        caller = Caller(fleet.net, 1)
+        caller.start(fleet.balancers[0])
+        fleet.net.run()
+        self.assertEqual(1, caller.resets)
+        self.assertEqual([], [t for t in fleet.targets if t.ran])
+
+    def test_lost_flow_is_reset_once_its_target_says_so(self):
+        # Guards against callers that wait for a target which has crashed.
+        fleet = Fleet(balancers=1)
+        caller = self.open_flow(fleet)
+        for target in fleet.targets:
+            target.flows.clear()
+        caller.ask(fleet.balancers[0])
+        fleet.net.run()
+        self.assertEqual(1, caller.resets)
+
+    def test_flow_that_began_elsewhere_is_never_reset(self):
+        # Guards against a reset by a balancer that does not know the target
+        # of the flow yet.
+        fleet = Fleet(targets=2)
+        caller = self.open_flow(fleet)
+        self.ask(fleet, caller)
+        holder = fleet.find_holder(caller)
+        fleet.vms = [v for v in fleet.vms if v.peer != (holder.host, PORT)]
+        fleet.restart_balancer(1)
+        caller.ask(fleet.balancers[1])
+        fleet.net.run()
+        self.assertEqual(0, caller.resets)
+
+    def test_unknown_address_is_reset(self):
+        fleet = Fleet(balancers=1)
+        caller = Caller(fleet.net, 1, ("198.18.0.9", 443))
+        caller.start(fleet.balancers[0])
+        fleet.net.run()
+        self.assertEqual(1, caller.resets)
+
+    def test_removed_service_keeps_its_open_flows(self):
+        fleet = Fleet(balancers=1)
+        caller = self.open_flow(fleet)
+        fleet.services = []
+        fleet.teach(generation=2)
+        self.ask(fleet, caller)
+        late = Caller(fleet.net, 2, ADDRESS)
+        late.start(fleet.balancers[0])
+        fleet.net.run()
+        self.assertEqual(1, late.resets)
+
+    def test_starts_go_to_free_slots(self):
+        # Guards against requests that queue at one target while another one
+        # is idle.
+        fleet = Fleet(balancers=2, targets=4, slots=1)
+        for number in range(4):
+            self.open_flow(fleet, number + 1, balancer=number % 2)
+        self.assertEqual([1, 1, 1, 1], [len(t.flows) for t in fleet.targets])
+
+    def test_start_without_a_free_slot_queues(self):
+        fleet = Fleet(balancers=1, targets=4, slots=1)
+        for number in range(12):
+            self.open_flow(fleet, number + 1)
+        self.assertEqual([3, 3, 3, 3], [len(t.flows) for t in fleet.targets])
