--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -108,7 +108,7 @@
         self.used = now
         async with anyio.create_task_group() as group:
             group.start_soon(self._maintain)
-            group.start_soon(self._follow_offers)
+            group.start_soon(self.follow_offers)
             task_status.started()
             while True:
                 batch = await self._port.receive()
@@ -485,12 +485,13 @@
         self._steering.note_report(candidate, message.busy, service_time, now)
         return candidate
 
-    async def _follow_offers(self) -> None:
+    async def follow_offers(self) -> None:
+        """Checks each offer when its time is over, until cancelled."""
         while True:
             if not self._pending:
                 self._offered = anyio.Event()
                 await self._offered.wait()
-            await anyio.sleep(self._pending[0][0] - anyio.current_time())
+            await anyio.sleep_until(self._pending[0][0])
             self.check_offers(anyio.current_time())
 
     def check_offers(self, now: float) -> None:
--- /dev/null
+++ b/tests/platformstore.py
@@ -0,0 +1,144 @@
+"""Stand-in of the platform's store, as an HTTP transport in one process."""
+
+import base64
+import json
+import sys
+from pathlib import Path
+
+import anyio
+import httpx
+
+sys.path.append(str(Path(__file__).parent.parent / "platform"))
+
+from adapter.store import StoreSource  # noqa: E402
+
+AGENT_PORT = 8172
+PAGE = 2  # items
+
+
+def make_entry(host="10.2.0.1", state="ready", service="counts", **changes):
+    """Returns the registration of a target."""
+    return {
+        "Service": service,
+        "Address": f"{host}:8165",
+        "Zone": "a",
+        "Version": "v1",
+        "Slots": 2,
+        "State": state,
+        "WarmupLeftMs": 0,
+        "Seq": 4,
+        **changes,
+    }
+
+
+def make_route(name="r-1", host="198.18.0.1", port=443, **changes):
+    return {
+        "Name": name,
+        "Host": host,
+        "Prefix": f"/{port}/",
+        "RouteType": "idempotent",
+        "TimeoutMs": 1000,
+        "SloMs": 150,
+        "Priority": 2,
+        "Service": "counts",
+        "MaxAttempts": 2,
+        **changes,
+    }
+
+
+def make_configuration(version, *routes):
+    return {
+        "Version": version,
+        "Routes": list(routes or (make_route(),)),
+        "Services": [{"Name": "counts", "HealthPath": "/health"}],
+        "Limits": {"IdleTimeoutMs": 15000},
+    }
+
+
+class FakeStore(httpx.AsyncBaseTransport):
+    """Holds items and their history.
+
+    Attributes:
+        fault: None, "silent", "lost" or a status that all calls get.
+    """
+
+    def __init__(self):
+        self.items, self.history, self.revision = {}, [], 10
+        self.kept_from, self.fault, self.calls = 0, None, []
+        self.changed = anyio.Event()
+
+    def put(self, key, value):
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(data).decode(),
+            "Revision": self.revision,
+            "CreateRev": self.revision,
+            "Lease": 0,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        self._note({"Key": key, "Revision": self.revision, "Removed": True})
+
+    def forget_history(self):
+        self.kept_from = self.revision
+
+    def make_source(self):
+        client = httpx.AsyncClient(base_url="http://store", transport=self)
+        return StoreSource(client, AGENT_PORT)
+
+    async def handle_async_request(self, request):
+        query = dict(request.url.params)
+        self.calls.append((request.url.path, query))
+        if isinstance(self.fault, int):
+            return httpx.Response(self.fault)
+        if self.fault == "silent":
+            await anyio.sleep_forever()
+        match request.url.path:
+            case "/kv-key":
+                item = self.items.get(query["Key"])
+                status = 404 if item is None else 200
+                return self._reply(item or {}, status)
+            case "/kv-range":
+                return self._reply(self._read_page(query))
+            case "/kv-watch":
+                return await self._watch(query)
+        return httpx.Response(404)
+
+    def _note(self, event):
+        self.history.append(event)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _reply(self, document, status=200):
+        document = {**document, "CurrentRev": self.revision}
+        return httpx.Response(status, json=document)
+
+    def _read_page(self, query):
+        keys = sorted(k for k in self.items if k.startswith(query["Prefix"]))
+        keys = [key for key in keys if key > query.get("after", "")]
+        page = [self.items[key] for key in keys[:PAGE]]
+        return {"items": page, "HasMore": len(keys) > PAGE}
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        if after < self.kept_from:
+            return httpx.Response(410)
+        with anyio.move_on_after(int(query["WaitMs"]) / 1000):
+            while not self._find_events(query["Prefix"], after):
+                await self.changed.wait()
+        return self._reply(
+            {"events": self._find_events(query["Prefix"], after)}
+        )
+
+    def _find_events(self, prefix, after):
+        return [
+            event
+            for event in self.history
+            if event["Revision"] > after and event["Key"].startswith(prefix)
+        ]
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,261 @@
+"""Tests of the adapter's store client and of its translations."""
+
+import json
+
+import anyio
+import testtools
+from network import run_virtual
+from platformstore import (
+    AGENT_PORT,
+    FakeStore,
+    make_configuration,
+    make_entry,
+    make_route,
+)
+
+from jujuberun.errors import SourceError
+from jujuberun.ids import PoolId, Urgency, VmState
+from jujuberun.manifest import parse_manifest
+from jujuberun.members import parse_vm_list
+from jujuberun.source import Kind
+
+WAIT_S = 1.5
+
+
+def read_vms(document):
+    return parse_vm_list(document.data).unwrap().vms
+
+
+class StoreTest(testtools.TestCase):
+    def test_configuration_becomes_a_manifest(self):
+        store = FakeStore()
+        split = [
+            {"Service": "counts", "Weight": 90},
+            {"Service": "sheets", "Weight": 10},
+        ]
+        route = make_route("r-2", port=8443, Priority=1, WeightedServices=split)
+        del route["Service"]
+        store.put("op/config", make_configuration(7, make_route(), route))
+
+        async def run():
+            return await store.make_source().fetch(Kind.MANIFEST, 0, 0)
+
+        manifest = parse_manifest(run_virtual(run).data).unwrap()
+        first, second = manifest.services.values()
+        self.assertEqual(7, manifest.generation)
+        self.assertEqual(("198.18.0.1", 443), first.address)
+        self.assertEqual(15.0, first.idle_timeout)
+        self.assertEqual(0.15, first.objective)
+        self.assertEqual(Urgency.NORMAL, second.urgency)
+        shares = [(share.pool, share.weight) for share in second.pools]
+        self.assertEqual([("counts", 90), ("sheets", 10)], shares)
+
+    def test_route_whose_address_stands_twice_is_ignored(self):
+        # Guards against a configuration that is refused as a whole.
+        store = FakeStore()
+        twice = make_route("r-2")
+        store.put("op/config", make_configuration(7, make_route(), twice))
+
+        async def run():
+            return await store.make_source().fetch(Kind.MANIFEST, 0, 0)
+
+        manifest = parse_manifest(run_virtual(run).data).unwrap()
+        self.assertEqual({"r-1"}, set(manifest.services))
+
+    def test_watch_returns_the_newest_configuration(self):
+        store = FakeStore()
+        store.put("op/config", make_configuration(7))
+
+        async def run():
+            source = store.make_source()
+            first = await source.fetch(Kind.MANIFEST, 0, WAIT_S)
+            same = await source.fetch(Kind.MANIFEST, first.index, WAIT_S)
+            self.assertIsNone(same)
+            store.put("op/config", make_configuration(8))
+            store.put("op/config", make_configuration(11))
+            second = await source.fetch(Kind.MANIFEST, first.index, WAIT_S)
+            return parse_manifest(second.data).unwrap().generation
+
+        self.assertEqual(11, run_virtual(run))
+
+    def test_forgotten_history_is_read_anew(self):
+        store = FakeStore()
+        store.put("op/config", make_configuration(7))
+        store.put("servers/i-1", make_entry())
+
+        async def run():
+            source = store.make_source()
+            first = await source.fetch(Kind.MANIFEST, 0, WAIT_S)
+            vms = await source.fetch(Kind.VMS, 0, WAIT_S)
+            store.put("op/config", make_configuration(9))
+            store.put("servers/i-2", make_entry("10.2.0.2"))
+            store.remove("servers/i-1")
+            store.forget_history()
+            second = await source.fetch(Kind.MANIFEST, first.index, WAIT_S)
+            vms = await source.fetch(Kind.VMS, vms.index, WAIT_S)
+            self.assertEqual({"i-2"}, set(read_vms(vms)))
+            return parse_manifest(second.data).unwrap().generation
+
+        self.assertEqual(9, run_virtual(run))
+
+    def test_registrations_become_vms(self):
+        store = FakeStore()
+        for number in range(5):
+            entry = make_entry(f"10.2.0.{number}", Slots=number + 1)
+            store.put(f"servers/i-{number}", entry)
+        store.put("servers/i-5", make_entry("10.2.0.5", "draining"))
+
+        async def run():
+            return await store.make_source().fetch(Kind.VMS, 0, 0)
+
+        vms = read_vms(run_virtual(run))
+        self.assertEqual({f"i-{n}" for n in range(6)}, set(vms))
+        self.assertEqual(VmState.LEAVING, vms["i-5"].state)
+        self.assertEqual(("10.2.0.3", AGENT_PORT), vms["i-3"].peer)
+        self.assertEqual(4, vms["i-3"].target.slots)
+        self.assertEqual(PoolId("counts"), vms["i-3"].target.pool)
+
+    def test_wrong_registration_names_no_target(self):
+        # Guards against one bad entry that hides the good ones.
+        wrong = [
+            b"\xff\xfe",
+            b"[]",
+            b"{}",
+            b"[" * 2000,
+            make_entry(state="unknown"),
+            make_entry(State=None),
+            make_entry(State=["ready"]),
+            make_entry(service=7),
+            make_entry(service=""),
+            make_entry(Address="host:80"),
+            make_entry(Address="10.2.0.1"),
+            make_entry(Address="10.2.0.1:0"),
+            make_entry(Address=None),
+            make_entry(Slots="2"),
+            make_entry(Slots=True),
+            make_entry(Slots=0),
+            make_entry(Slots=10**9),
+            make_entry(WarmupLeftMs=-1),
+            make_entry(WarmupLeftMs="soon"),
+            make_entry(WarmupLeftMs=float("nan")),
+            make_entry(Zone=None),
+            make_entry(born="yesterday"),
+            make_entry(born=1.5),
+        ]
+        for number, entry in enumerate(wrong):
+            store = FakeStore()
+            store.put("servers/bad", entry)
+            store.put("servers/good", make_entry())
+
+            async def run(store=store):
+                return await store.make_source().fetch(Kind.VMS, 0, 0)
+
+            vms = read_vms(run_virtual(run))
+            self.assertEqual({"good"}, set(vms), f"{number}: {entry!r}")
+
+    def test_new_start_under_the_old_id_is_another_target(self):
+        store = FakeStore()
+        store.put("servers/i-1", make_entry(born=1000))
+
+        async def run():
+            source = store.make_source()
+            first = await source.fetch(Kind.VMS, 0, 0)
+            store.put("servers/i-1", make_entry(born=2000))
+            second = await source.fetch(Kind.VMS, first.index, WAIT_S)
+            return set(read_vms(first)), set(read_vms(second))
+
+        self.assertEqual(({"i-1@1000"}, {"i-1@2000"}), run_virtual(run))
+
+    def test_faults_of_the_store_raise_in_time(self):
+        for fault in ("silent", 429, 503):
+            store = FakeStore()
+            store.put("op/config", make_configuration(7))
+
+            async def run(store=store, fault=fault):
+                source = store.make_source()
+                first = await source.fetch(Kind.MANIFEST, 0, WAIT_S)
+                vms = await source.fetch(Kind.VMS, 0, WAIT_S)
+                store.fault = fault
+                begun = anyio.current_time()
+                for kind, index in (
+                    (Kind.MANIFEST, first.index),
+                    (Kind.VMS, vms.index),
+                ):
+                    with testtools.ExpectedException(SourceError):
+                        await source.fetch(kind, index, WAIT_S)
+                return anyio.current_time() - begun
+
+            # A lost answer must leave time to read anew within 3 s.
+            self.assertLessEqual(run_virtual(run) / 2, WAIT_S + 1.0)
+
+    def test_entries_that_lapsed_are_kept_for_a_while(self):
+        # Guards against a service without targets when the store returns
+        # before the targets have registered anew.
+        store = FakeStore()
+        store.put("servers/i-1", make_entry())
+        store.put("servers/i-2", make_entry("10.2.0.2"))
+
+        async def run():
+            source = store.make_source()
+            first = await source.fetch(Kind.VMS, 0, WAIT_S)
+            store.fault = 503
+            begun = anyio.current_time()
+            while anyio.current_time() - begun < 4.0:
+                with testtools.ExpectedException(SourceError):
+                    await source.fetch(Kind.VMS, first.index, WAIT_S)
+                await anyio.sleep(0.5)
+            store.fault = None
+            store.remove("servers/i-1")
+            store.remove("servers/i-2")
+            kept = await source.fetch(Kind.VMS, 0, WAIT_S)
+            store.put("servers/i-2", make_entry("10.2.0.2"))
+            found = [kept]
+            returned = anyio.current_time()
+            while anyio.current_time() - returned < 3.0:
+                index = found[-1].index
+                document = await source.fetch(Kind.VMS, index, WAIT_S)
+                if document is not None:
+                    found.append(document)
+            return [(d.index, set(read_vms(d))) for d in found]
+
+        found = run_virtual(run)
+        self.assertEqual({"i-1", "i-2"}, found[0][1])
+        self.assertEqual({"i-2"}, found[-1][1])
+        indexes = [index for index, _ in found]
+        self.assertEqual(sorted(set(indexes)), indexes)
+
+    def test_removed_entry_is_gone_at_once_while_the_store_is_well(self):
+        store = FakeStore()
+        store.put("servers/i-1", make_entry())
+        store.put("servers/i-2", make_entry("10.2.0.2"))
+
+        async def run():
+            source = store.make_source()
+            first = await source.fetch(Kind.VMS, 0, WAIT_S)
+            store.remove("servers/i-1")
+            return await source.fetch(Kind.VMS, first.index, WAIT_S)
+
+        self.assertEqual({"i-2"}, set(read_vms(run_virtual(run))))
+
+    def test_malformed_configuration_is_refused(self):
+        for value in (
+            b"{",
+            [],
+            {"Version": 3},
+            make_configuration("new"),
+            make_configuration(3, make_route(Prefix="/x/")),
+            make_configuration(3, make_route(Host="example.org")),
+        ):
+            store = FakeStore()
+            store.put("op/config", value)
+
+            async def run(store=store):
+                source = store.make_source()
+                document = await source.fetch(Kind.MANIFEST, 0, 0)
+                return parse_manifest(document.data)
+
+            try:
+                refused = run_virtual(run).is_err()
+            except SourceError:
+                refused = True
+            self.assertTrue(refused, json.dumps(repr(value)))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,6 +1,8 @@
 """Tests of packet flows through balancers, agents and targets."""
 
+import anyio
 import testtools
+from network import run_virtual
 from packetpath import ADDRESS, PORT, Caller, Fleet, Target, make_vm
 
 from jujuberun.ids import PoolId, VmState
@@ -217,3 +219,23 @@
         for number in range(12):
             self.open_flow(fleet, number + 1)
         self.assertEqual([3, 3, 3, 3], [len(t.flows) for t in fleet.targets])
+
+    def test_late_wake_of_the_offer_check(self):
+        # Guards against a balancer that ends because it wakes after the time
+        # of an offer; seen as a crash loop on slow VMs.
+        fleet = Fleet(balancers=1)
+        fleet.net.now = -1.0
+        fleet.net.silent = {t.host for t in fleet.targets}
+        relay = fleet.balancers[0].relay
+
+        async def run():
+            Caller(fleet.net, 1).start(fleet.balancers[0])
+            fleet.net.run()
+            async with anyio.create_task_group() as group:
+                # The offers of this network were due long ago.
+                group.start_soon(relay.follow_offers)
+                await anyio.sleep(1)
+                group.cancel_scope.cancel()
+
+        run_virtual(run)
+        self.assertGreater(relay.counts["starts_offered_again"], 0)
