--- /dev/null
+++ b/jujuberun/addresses.py
@@ -0,0 +1,14 @@
+"""Addresses as texts."""
+
+from jujuberun.ids import Address
+
+
+def parse_address(text: str) -> Address:
+    """Parses "host:port" with a dotted IPv4 host."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def format_address(address: Address) -> str:
+    """Formats an address as "host:port"."""
+    return f"{address[0]}:{address[1]}"
--- a/jujuberun/api.py
+++ b/jujuberun/api.py
@@ -9,6 +9,7 @@
 import httpx
 from result import Err, Ok, Result
 
+from jujuberun.addresses import format_address
 from jujuberun.caller import Caller, CallResult
 from jujuberun.errors import (
     JujuberunError,
@@ -17,12 +18,7 @@
     SettingsError,
 )
 from jujuberun.ids import Address, Outcome
-from jujuberun.manifest import (
-    MAX_MANIFEST_BYTES,
-    Manifest,
-    format_address,
-    parse_manifest,
-)
+from jujuberun.manifest import MAX_MANIFEST_BYTES, Manifest, parse_manifest
 from jujuberun.measure import MEASUREMENTS, Options, Report
 from jujuberun.quic import make_client_tls
 from jujuberun.reference import REFERENCES
--- a/jujuberun/assembly.py
+++ b/jujuberun/assembly.py
@@ -1,26 +1,20 @@
 """Assembly: builds the parts of a daemon from its settings."""
 
 from dataclasses import dataclass
-
-import anyio
+from typing import TYPE_CHECKING
 
 from jujuberun.dump import Dump
 from jujuberun.frames import FrameCodec
-from jujuberun.generations import Generations
-from jujuberun.ids import Address, Role
+from jujuberun.ids import Role
 from jujuberun.kernel import Kernel
-from jujuberun.link import Link
-from jujuberun.manifest import Manifest
-from jujuberun.members import Members
-from jujuberun.metrics import Metrics
 from jujuberun.peers import Peers
 from jujuberun.port import SocketPort
-from jujuberun.roster import Roster
 from jujuberun.settings import Settings
-from jujuberun.source import Source
-from jujuberun.spread import Spread
-from jujuberun.watch import ReadPace
-from jujuberun.wire import Codec, Signer, Status
+from jujuberun.wire import Codec, Signer
+
+if TYPE_CHECKING:
+    from jujuberun.manifest import Manifest
+    from jujuberun.source import Source
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,11 +22,12 @@
     """What a daemon needs to know of the network that it runs in.
 
     Attributes:
-        source: where manifest and VM list are published.
+        source: where manifest and VM list are published, None for a role
+            without documents.
         codec: format of the packets, None without packet services.
     """
 
-    source: Source
+    source: "Source | None"
     codec: FrameCodec | None = None
 
 
@@ -51,8 +46,11 @@
     peers = Peers(SocketPort.bind(settings.peer), Codec(signer))
     kernel.register(peers)
     if needs_documents(settings):
-        _add_documents(kernel, settings, network.source, signer)
-    kernel.register(Metrics(kernel))
+        # Agents of packet targets do without; loading these parts costs them
+        # 50 ms at start.
+        from jujuberun.document_parts import add_documents
+
+        add_documents(kernel, settings, network.source, signer)
     kernel.register(Dump(kernel, settings.admin))
     return kernel
 
@@ -69,7 +67,7 @@
     kernel: Kernel,
     settings: Settings,
     network: Network,
-    manifest: Manifest | None,
+    manifest: "Manifest | None",
 ) -> None:
     """Adds the parts of the daemon's role.
 
@@ -93,45 +91,3 @@
     from jujuberun.request_parts import add_request_role
 
     add_request_role(kernel, settings, manifest)
-
-
-def find_seeds(settings: Settings) -> tuple[Address, ...]:
-    """Returns the peer addresses of the seeds."""
-    if not settings.seed_port:
-        return settings.seeds
-    return tuple((host, settings.seed_port) for host, _ in settings.seeds)
-
-
-def _add_documents(
-    kernel: Kernel, settings: Settings, source: Source, signer: Signer
-) -> None:
-    """Adds the parts that keep manifest and VM list up to date."""
-    peers: Peers = kernel.find("peers")
-    link = Link(settings.peer, signer)
-    generations = Generations()
-    members = Members(settings.vm)
-    seeds = find_seeds(settings)
-    platform = settings.platform
-    roster = None
-    if not platform.lists_balancers:
-        roster = Roster(settings.peer, seeds)
-    spread = Spread(
-        settings.vm,
-        seeds,
-        generations,
-        members,
-        link,
-        peers.send,
-        source,
-        read_clock=anyio.current_time,
-        roster=roster,
-        pace=ReadPace(
-            wait=platform.watch_wait,
-            start_spread=platform.start_spread,
-            retry_limit=platform.retry_limit,
-        ),
-    )
-    peers.register(Status, spread.handle_status)
-    peers.subscribe_pauses(spread.ask_peers)
-    for part in (generations, members, link, spread):
-        kernel.register(part)
--- a/jujuberun/balancer.py
+++ b/jujuberun/balancer.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskStatus
 
+from jujuberun.addresses import format_address
 from jujuberun.cache import AGE_S, DEFAULT_CAPACITY, CacheBudget
 from jujuberun.errors import WireError
 from jujuberun.generations import Generations, Version
@@ -16,7 +17,6 @@
 from jujuberun.kernel import Kernel
 from jujuberun.limits import StartLimits
 from jujuberun.listener import Listener, Route
-from jujuberun.manifest import format_address
 from jujuberun.peers import Peers
 from jujuberun.port import BATCH_PACKETS, Port, SocketPort
 from jujuberun.settings import Settings
--- a/jujuberun/caller.py
+++ b/jujuberun/caller.py
@@ -11,10 +11,10 @@
 from aioquic.quic.configuration import QuicConfiguration
 from anyio.abc import TaskGroup
 
+from jujuberun.addresses import format_address
 from jujuberun.connection import Connection, State
 from jujuberun.errors import RequestError
 from jujuberun.ids import Address, Outcome
-from jujuberun.manifest import format_address
 from jujuberun.port import Port, SocketPort
 from jujuberun.quic import (
     HEADER_DEADLINE,
--- a/jujuberun/daemon.py
+++ b/jujuberun/daemon.py
@@ -9,6 +9,7 @@
 import anyio
 from result import Err, Ok
 
+from jujuberun.addresses import format_address
 from jujuberun.assembly import (
     Network,
     add_role,
@@ -16,14 +17,10 @@
     needs_documents,
 )
 from jujuberun.errors import JujuberunError
-from jujuberun.generations import Generations
 from jujuberun.ids import Role
 from jujuberun.kernel import Kernel
 from jujuberun.logs import find_logger, set_up_logs
-from jujuberun.manifest import format_address
 from jujuberun.settings import Settings, load_settings
-from jujuberun.source import make_source
-from jujuberun.spread import Spread
 
 EXIT_SETTINGS = 2
 EXIT_FORCED = 3
@@ -83,8 +80,8 @@
 async def _add_role_of_manifest(
     kernel: Kernel, settings: Settings, network: Network
 ) -> None:
-    generations: Generations = kernel.find("generations")
-    spread: Spread = kernel.find("spread")
+    generations = kernel.find("generations")
+    spread = kernel.find("spread")
     warned = False
     if settings.packet.address is None:
         # A process that knows less than its peers could create flows that
@@ -195,6 +192,8 @@
 
 
 def _make_network(settings: Settings) -> Network:
+    from jujuberun.source import make_source
+
     return Network(make_source(settings.platform, settings.vm))
 
 
--- /dev/null
+++ b/jujuberun/document_parts.py
@@ -0,0 +1,58 @@
+"""Parts that keep manifest and VM list up to date."""
+
+import anyio
+
+from jujuberun.generations import Generations
+from jujuberun.ids import Address
+from jujuberun.kernel import Kernel
+from jujuberun.link import Link
+from jujuberun.members import Members
+from jujuberun.peers import Peers
+from jujuberun.roster import Roster
+from jujuberun.settings import Settings
+from jujuberun.source import Source
+from jujuberun.spread import Spread
+from jujuberun.watch import ReadPace
+from jujuberun.wire import Signer, Status
+
+
+def find_seeds(settings: Settings) -> tuple[Address, ...]:
+    """Returns the peer addresses of the seeds."""
+    if not settings.seed_port:
+        return settings.seeds
+    return tuple((host, settings.seed_port) for host, _ in settings.seeds)
+
+
+def add_documents(
+    kernel: Kernel, settings: Settings, source: Source, signer: Signer
+) -> None:
+    """Adds the parts that keep manifest and VM list up to date."""
+    peers: Peers = kernel.find("peers")
+    link = Link(settings.peer, signer)
+    generations = Generations()
+    members = Members(settings.vm)
+    seeds = find_seeds(settings)
+    platform = settings.platform
+    roster = None
+    if not platform.lists_balancers:
+        roster = Roster(settings.peer, seeds)
+    spread = Spread(
+        settings.vm,
+        seeds,
+        generations,
+        members,
+        link,
+        peers.send,
+        source,
+        read_clock=anyio.current_time,
+        roster=roster,
+        pace=ReadPace(
+            wait=platform.watch_wait,
+            start_spread=platform.start_spread,
+            retry_limit=platform.retry_limit,
+        ),
+    )
+    peers.register(Status, spread.handle_status)
+    peers.subscribe_pauses(spread.ask_peers)
+    for part in (generations, members, link, spread):
+        kernel.register(part)
--- a/jujuberun/dump.py
+++ b/jujuberun/dump.py
@@ -11,11 +11,11 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream, TaskStatus
 
+from jujuberun.addresses import format_address
 from jujuberun.errors import JujuberunError
 from jujuberun.ids import Address, ServiceId
 from jujuberun.kernel import Kernel
 from jujuberun.logs import find_logger
-from jujuberun.manifest import format_address
 from jujuberun.values import read_address
 
 MAX_HEADER_BYTES = 8192
@@ -112,14 +112,21 @@
             case "/explain":
                 return self._explain(dict(parse_qsl(query)), now)
             case "/metrics":
-                metrics = self._kernel.find("metrics")
-                return Reply(200, _TEXT, metrics.render())
+                return Reply(200, _TEXT, self._find_metrics().render())
             case "/health":
                 return self._report_health()
             case _:
                 known = "/state, /explain, /metrics, /health"
                 return Reply.from_error(404, f"unknown path; known: {known}")
 
+    def _find_metrics(self) -> Any:
+        """Returns the part, which is loaded when it is first asked for."""
+        if not self._kernel.has("metrics"):
+            from jujuberun.metrics import Metrics
+
+            self._kernel.register(Metrics(self._kernel))
+        return self._kernel.find("metrics")
+
     def _explain(self, query: dict[str, str], now: float) -> Reply:
         service = query.get("service")
         if not service:
--- a/jujuberun/frames.py
+++ b/jujuberun/frames.py
@@ -3,10 +3,17 @@
 from socket import inet_ntoa
 from typing import NamedTuple, Protocol
 
-from jujuberun.ids import Address
+import xxhash
+
+from jujuberun.ids import Address, PoolId
 
 # Caller and service address, each 4 bytes IPv4 and 2 bytes port.
 KEY_BYTES = 12
+# A mark is the tag of a pool, and the number of busy flows up to which an agent
+# takes a start.
+ROOM_BITS = 16
+ROOM_MASK = 0xFFFF
+ROOM_ANY = 0xFF  # the agent takes the start whatever its load is
 _SEQUENCE_SPACE = 1 << 32
 
 
@@ -62,6 +69,11 @@
         """Returns a reset of the flow for the caller that sent a packet."""
 
 
+def make_tag(pool: PoolId) -> int:
+    """Returns 16 bits by which an agent recognises packets of its pool."""
+    return xxhash.xxh3_64_intdigest(pool.encode()) & 0xFFFF
+
+
 def find_caller(key: bytes) -> Address:
     """Returns the caller's address of a flow."""
     return inet_ntoa(key[:4]), int.from_bytes(key[4:6], "big")
--- a/jujuberun/link.py
+++ b/jujuberun/link.py
@@ -17,9 +17,9 @@
 from anyio.abc import SocketStream, TaskGroup, TaskStatus
 from result import Err, Ok, Result
 
+from jujuberun.addresses import format_address
 from jujuberun.errors import LinkError, WireError
 from jujuberun.ids import Address
-from jujuberun.manifest import format_address
 from jujuberun.wire import Codec, Signer, find_body, read_wall_clock
 
 MAX_FRAME_BYTES = 2 << 20  # twice the platform's largest value
--- a/jujuberun/manifest.py
+++ b/jujuberun/manifest.py
@@ -4,11 +4,12 @@
 import json
 from dataclasses import dataclass, field
 from enum import Enum
-from importlib import resources
+from pathlib import Path
 from typing import Any
 
 from result import Err, Ok, Result
 
+from jujuberun.addresses import format_address, parse_address
 from jujuberun.errors import ManifestError
 from jujuberun.ids import (
     Address,
@@ -161,19 +162,8 @@
 
 def load_schema() -> dict[str, Any]:
     """Returns the JSON schema of the manifest."""
-    text = resources.files("jujuberun").joinpath("manifest.schema.json")
-    return json.loads(text.read_text(encoding="utf-8"))
-
-
-def parse_address(text: str) -> Address:
-    """Parses "host:port" with a dotted IPv4 host."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
-def format_address(address: Address) -> str:
-    """Formats an address as "host:port"."""
-    return f"{address[0]}:{address[1]}"
+    path = Path(__file__).with_name("manifest.schema.json")
+    return json.loads(path.read_text(encoding="utf-8"))
 
 
 def parse_manifest(data: bytes) -> Result[Manifest, ManifestError]:
--- a/jujuberun/measure_broken.py
+++ b/jujuberun/measure_broken.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
+from jujuberun.addresses import format_address
 from jujuberun.ids import (
     Address,
     DomainId,
@@ -24,7 +25,6 @@
     Manifest,
     Service,
     Target,
-    format_address,
 )
 from jujuberun.measure import Options, Report, Row
 from jujuberun.standin_echo import DATA, LOST, START
--- a/jujuberun/members.py
+++ b/jujuberun/members.py
@@ -12,11 +12,11 @@
 from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
+from jujuberun.addresses import format_address, parse_address
 from jujuberun.delta import MAX_DOCUMENT_BYTES, digest_document
 from jujuberun.errors import SourceError
 from jujuberun.generations import Acceptance
 from jujuberun.ids import Address, DomainId, PoolId, Role, VmId, VmState
-from jujuberun.manifest import format_address, parse_address
 
 # Three, so that the platform may answer only some processes and two of a
 # group may be down; a constant number keeps reads independent of the fleet.
--- a/jujuberun/peers.py
+++ b/jujuberun/peers.py
@@ -10,9 +10,9 @@
 from anyio.abc import TaskStatus
 from result import Err, Ok
 
+from jujuberun.addresses import format_address
 from jujuberun.errors import WireError
 from jujuberun.ids import Address
-from jujuberun.manifest import format_address
 from jujuberun.port import Port
 from jujuberun.wire import (
     Codec,
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -7,21 +7,28 @@
 import anyio
 from anyio.abc import TaskStatus
 
+from jujuberun.addresses import format_address
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
-from jujuberun.frames import Frame, FrameCodec, find_caller, find_service
+from jujuberun.frames import (
+    ROOM_ANY,
+    ROOM_BITS,
+    Frame,
+    FrameCodec,
+    find_caller,
+    find_service,
+    make_tag,
+)
 from jujuberun.generations import Generations, Version
 from jujuberun.ids import Address, DomainId, PoolId, Protocol, TargetId
 from jujuberun.logs import find_logger
-from jujuberun.manifest import Service, format_address
+from jujuberun.manifest import Service
 from jujuberun.members import Members, VmList
 from jujuberun.peers import Peers
 from jujuberun.port import Port
 from jujuberun.steering import (
     OFFER_TIMEOUT_S,
-    ROOM_ANY,
     Candidate,
     Steering,
-    make_tag,
 )
 from jujuberun.wire import Accepted, Declined, pack_address
 
@@ -32,7 +39,6 @@
 # A caller gives a start up after 1.4 s; an older one is not offered again.
 START_LIFE_S = 1.3
 DRAIN_POLL_S = 0.05
-ROOM_BITS = 16  # a mark is the tag of the pool and the room for the start
 POOL_HISTORY_S = 60.0
 
 _log = find_logger("relay")
--- a/jujuberun/roster.py
+++ b/jujuberun/roster.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
+from jujuberun.addresses import format_address
 from jujuberun.errors import WireError
 from jujuberun.ids import Address
-from jujuberun.manifest import format_address
 from jujuberun.wire import Sighting, pack_address, unpack_address
 
 # A balancer gossips each second with two others, so that in a fleet of
--- a/jujuberun/settings.py
+++ b/jujuberun/settings.py
@@ -9,9 +9,9 @@
 
 from result import Err, Ok, Result
 
+from jujuberun.addresses import format_address
 from jujuberun.errors import SettingsError
 from jujuberun.ids import Address, DomainId, PoolId, Role, TargetId, VmId
-from jujuberun.manifest import format_address
 from jujuberun.values import (
     read_address,
     read_address_map,
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -9,12 +9,19 @@
 import anyio
 from anyio.abc import TaskStatus
 
-from jujuberun.frames import Frame, FrameCodec, find_caller
+from jujuberun.frames import (
+    ROOM_ANY,
+    ROOM_BITS,
+    ROOM_MASK,
+    Frame,
+    FrameCodec,
+    find_caller,
+    make_tag,
+)
 from jujuberun.ids import Address, PoolId
 from jujuberun.logs import find_logger
 from jujuberun.peers import Peers
 from jujuberun.port import Port
-from jujuberun.steering import ROOM_ANY, make_tag
 from jujuberun.wire import Accepted, Declined
 
 IDLE_S = 20.0  # a flow without packets is forgotten
@@ -27,8 +34,6 @@
 # after about ten answers.
 SERVICE_TIME_SHARE = 0.1
 MAX_FLOWS = 100_000
-ROOM_BITS = 16  # a mark is the tag of the pool and the room for the start
-ROOM_MASK = 0xFFFF
 
 _log = find_logger("sidecar")
 
--- a/jujuberun/spread.py
+++ b/jujuberun/spread.py
@@ -11,12 +11,12 @@
 from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
+from jujuberun.addresses import format_address
 from jujuberun.errors import JujuberunError, LinkError
 from jujuberun.generations import Generations, Version
 from jujuberun.ids import Address, VmId
 from jujuberun.lead import Lead
 from jujuberun.link import Link
-from jujuberun.manifest import format_address
 from jujuberun.members import Members, VmList
 from jujuberun.roster import Roster
 from jujuberun.source import Kind, Source
--- a/jujuberun/standin_echo.py
+++ b/jujuberun/standin_echo.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Sequence
 
-from jujuberun.manifest import parse_address
+from jujuberun.addresses import parse_address
 
 START = b"S"  # first byte of a flow's first datagram
 DATA = b"D"
--- a/jujuberun/standin_fleet.py
+++ b/jujuberun/standin_fleet.py
@@ -9,8 +9,9 @@
 import time
 from pathlib import Path
 
+from jujuberun.addresses import format_address
 from jujuberun.ids import Address, DomainId, Role, TargetId, VmId, VmState
-from jujuberun.manifest import Manifest, dump_manifest, format_address
+from jujuberun.manifest import Manifest, dump_manifest
 from jujuberun.members import Vm, VmList
 from jujuberun.standin_fabric import Fabric
 
--- a/jujuberun/standin_peers.py
+++ b/jujuberun/standin_peers.py
@@ -10,11 +10,11 @@
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
+from jujuberun.addresses import format_address
 from jujuberun.errors import LinkError
 from jujuberun.generations import Generations
 from jujuberun.ids import Address, VmId
 from jujuberun.link import Link
-from jujuberun.manifest import format_address
 from jujuberun.members import Members
 from jujuberun.port import SocketPort
 from jujuberun.source import HttpSource
--- a/jujuberun/standin_platform.py
+++ b/jujuberun/standin_platform.py
@@ -18,10 +18,10 @@
 import anyio
 from anyio.abc import SocketStream, TaskStatus
 
+from jujuberun.addresses import format_address, parse_address
 from jujuberun.errors import SourceError
 from jujuberun.ids import Address, VmId
 from jujuberun.link import watch_closing
-from jujuberun.manifest import format_address, parse_address
 from jujuberun.source import ANSWER_TIMEOUT_S, Document, Kind
 
 MAX_WAIT_S = 60.0
--- a/jujuberun/standin_target.py
+++ b/jujuberun/standin_target.py
@@ -12,8 +12,8 @@
 import h11
 from anyio.abc import SocketStream, TaskStatus
 
+from jujuberun.addresses import format_address, parse_address
 from jujuberun.ids import Address, ServiceId
-from jujuberun.manifest import format_address, parse_address
 from jujuberun.port import SocketPort
 
 MAX_BODY_BYTES = 16 << 20
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -25,7 +25,6 @@
 COST_STEP_S = 0.005  # smaller differences of the expected wait are noise
 # Targets that left are still asked for the flows that they may hold.
 FORMER_S = 60.0
-ROOM_ANY = 0xFF  # the agent takes the start whatever its load is
 
 
 @dataclass(slots=True)
@@ -292,11 +291,6 @@
     return shares[-1].pool
 
 
-def make_tag(pool: PoolId) -> int:
-    """Returns 16 bits by which an agent recognises packets of its pool."""
-    return xxhash.xxh3_64_intdigest(pool.encode()) & 0xFFFF
-
-
 def _hash(key: bytes, seed: int) -> int:
     return xxhash.xxh3_64_intdigest(key, seed=seed)
 
--- a/jujuberun/transfer.py
+++ b/jujuberun/transfer.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from jujuberun.addresses import format_address
 from jujuberun.delta import (
     apply_delta,
     digest_document,
@@ -17,7 +18,6 @@
 from jujuberun.generations import Acceptance, Generations
 from jujuberun.ids import Address
 from jujuberun.link import Link
-from jujuberun.manifest import format_address
 from jujuberun.source import Kind
 from jujuberun.wire import (
     Document,
--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -7,16 +7,15 @@
 import time
 from collections.abc import Sequence
 from functools import lru_cache
-from importlib import resources
 from socket import inet_aton, inet_ntoa
 from typing import Any
 
-import thriftpy2
 from result import Err, Ok, Result
 from thriftpy2.protocol.cybin import TCyBinaryProtocol
 from thriftpy2.thrift import TException
 from thriftpy2.transport.memory import TCyMemoryBuffer
 
+from jujuberun import messages
 from jujuberun.errors import WireError
 from jujuberun.ids import Address, FlowId
 from jujuberun.window import ReplayWindow
@@ -40,10 +39,6 @@
 _MAX_SENDERS = 20_000
 _STEP = "open message"
 
-messages = thriftpy2.load(
-    str(resources.files("jujuberun").joinpath("jujuberun.thrift")),
-    module_name="jujuberun_thrift",
-)
 Accepted = messages.Accepted
 Answer = messages.Answer
 Cancel = messages.Cancel
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -4,9 +4,10 @@
 import json
 import sys
 from pathlib import Path
+from urllib.parse import parse_qsl, urlsplit
 
 import anyio
-import httpx
+import httpcore
 
 sys.path.append(str(Path(__file__).parent.parent / "platform"))
 
@@ -55,8 +56,8 @@
     }
 
 
-class FakeStore(httpx.AsyncBaseTransport):
-    """Holds items and their history.
+class FakeStore:
+    """Takes the place of a connection pool; holds items and their history.
 
     Attributes:
         fault: None, "silent", "lost" or a status that all calls get.
@@ -89,17 +90,22 @@
         self.kept_from = self.revision
 
     def make_source(self):
-        client = httpx.AsyncClient(base_url="http://store", transport=self)
-        return StoreSource(client, AGENT_PORT)
+        return StoreSource(self, "http://store", AGENT_PORT)
 
-    async def handle_async_request(self, request):
-        query = dict(request.url.params)
-        self.calls.append((request.url.path, query))
+    async def request(self, method, url, extensions):
+        response = await self._answer(url)
+        await response.aread()
+        return response
+
+    async def _answer(self, url):
+        parts = urlsplit(url)
+        query = dict(parse_qsl(parts.query))
+        self.calls.append((parts.path, query))
         if isinstance(self.fault, int):
-            return httpx.Response(self.fault)
+            return httpcore.Response(self.fault)
         if self.fault == "silent":
             await anyio.sleep_forever()
-        match request.url.path:
+        match parts.path:
             case "/kv-key":
                 item = self.items.get(query["Key"])
                 status = 404 if item is None else 200
@@ -108,7 +114,7 @@
                 return self._reply(self._read_page(query))
             case "/kv-watch":
                 return await self._watch(query)
-        return httpx.Response(404)
+        return httpcore.Response(404)
 
     def _note(self, event):
         self.history.append(event)
@@ -117,7 +123,7 @@
 
     def _reply(self, document, status=200):
         document = {**document, "CurrentRev": self.revision}
-        return httpx.Response(status, json=document)
+        return httpcore.Response(status, content=json.dumps(document).encode())
 
     def _read_page(self, query):
         keys = sorted(k for k in self.items if k.startswith(query["Prefix"]))
@@ -128,7 +134,7 @@
     async def _watch(self, query):
         after = int(query["after"])
         if after < self.kept_from:
-            return httpx.Response(410)
+            return httpcore.Response(410)
         with anyio.move_on_after(int(query["WaitMs"]) / 1000):
             while not self._find_events(query["Prefix"], after):
                 await self.changed.wait()
--- /dev/null
+++ b/tests/test_codegen.py
@@ -0,0 +1,16 @@
+"""Tests of the generated message classes."""
+
+from pathlib import Path
+
+import testtools
+
+from jujuberun import codegen, messages
+
+
+class CodegenTest(testtools.TestCase):
+    def test_messages_are_up_to_date(self):
+        # Guards against definitions that changed without the classes.
+        folder = Path(messages.__file__).parent
+        rendered = codegen.render_messages(folder / "jujuberun.thrift")
+        committed = (folder / "messages.py").read_text()
+        self.assertEqual(rendered.split(), committed.split())
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -147,6 +147,7 @@
             kernel = assemble(settings, network)
             manifest = parse_manifest(data).unwrap()
             add_role(kernel, settings, network, manifest)
+            kernel.find("dump").reply("/metrics")
             return scrape(kernel.find("metrics"))
 
         return anyio.run(run)
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -4,8 +4,8 @@
 import httpx
 from testtools import TestCase
 
+from jujuberun.addresses import format_address
 from jujuberun.ids import ServiceId
-from jujuberun.manifest import format_address
 from jujuberun.port import SocketPort
 from jujuberun.standin_target import Behaviour, TargetStandin
 
