--- a/jujuberun/daemon.py
+++ b/jujuberun/daemon.py
@@ -10,12 +10,7 @@
 from result import Err, Ok
 
 from jujuberun.addresses import format_address
-from jujuberun.assembly import (
-    Network,
-    add_role,
-    assemble,
-    needs_documents,
-)
+from jujuberun.assembly import Network, add_role, assemble
 from jujuberun.errors import JujuberunError
 from jujuberun.ids import Role
 from jujuberun.kernel import Kernel
@@ -65,7 +60,7 @@
     kernel: Kernel, settings: Settings, network: Network
 ) -> None:
     """Starts the parts of the role once a manifest names what they serve."""
-    if needs_documents(settings):
+    if settings.packet.address is None:
         await _add_role_of_manifest(kernel, settings, network)
     else:
         add_role(kernel, settings, network, None)
@@ -83,10 +78,9 @@
     generations = kernel.find("generations")
     spread = kernel.find("spread")
     warned = False
-    if settings.packet.address is None:
-        # A process that knows less than its peers could create flows that
-        # they own already. Packet flows belong to their targets alone.
-        await spread.wait_confirmed()
+    # A process that knows less than its peers could create flows that they
+    # own already.
+    await spread.wait_confirmed()
     while True:
         version = generations.current
         try:
--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -47,6 +47,9 @@
         refused: targets that returned one of its packets.
         refused_at: when the last of them did.
         ended: the start was refused towards the caller.
+        objective: seconds in which the caller wants an answer, 0 if unknown.
+        delay: seconds from the caller's first start packet to the one that
+            came here first.
     """
 
     key: bytes
@@ -61,6 +64,8 @@
     refused: set[TargetId] = field(default_factory=set)
     refused_at: float = 0.0
     ended: bool = False
+    objective: float = 0.0
+    delay: float = 0.0
 
     @property
     def is_accepted(self) -> bool:
--- a/jujuberun/frames.py
+++ b/jujuberun/frames.py
@@ -14,6 +14,8 @@
 ROOM_BITS = 16
 ROOM_MASK = 0xFFFF
 ROOM_ANY = 0xFF  # the agent takes the start whatever its load is
+# Seconds after its first start packet at which a caller sends each copy.
+COPY_DELAYS_S = (0.0, 0.2, 0.6)
 _SEQUENCE_SPACE = 1 << 32
 
 
@@ -84,6 +86,11 @@
     return inet_ntoa(key[6:10]), int.from_bytes(key[10:12], "big")
 
 
+def find_copy_delay(copy: int) -> float:
+    """Returns the seconds between a caller's first start and this copy."""
+    return COPY_DELAYS_S[min(copy, len(COPY_DELAYS_S) - 1)]
+
+
 def measure_distance(sequence: int, acknowledged: int) -> int:
     """Returns how far a sequence number is behind an acknowledged one."""
     return (acknowledged - sequence) % _SEQUENCE_SPACE
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -1,6 +1,9 @@
 """Balancer of packet flows: carries callers' packets to agents, unchanged."""
 
+import heapq
+import itertools
 import logging
+import math
 from collections import Counter, deque
 from typing import Any
 
@@ -15,6 +18,7 @@
     Frame,
     FrameCodec,
     find_caller,
+    find_copy_delay,
     find_service,
     make_tag,
 )
@@ -34,6 +38,10 @@
 
 IDLE_S = 20.0  # a flow without packets is looked up anew after this time
 MAINTAIN_S = 1.0
+# A start that is too late for its objective waits for a free slot, so that it
+# does not delay those that are in time; it is offered again in this period.
+LATE_PERIOD_S = 0.05
+LATE_LIMIT_S = 0.8  # from its first packet here; then it queues at a target
 MAX_DECLINES = 3  # targets that are asked for a free slot before one must queue
 MAX_OFFERS = 4  # targets that a start is offered to in all
 # A caller gives a start up after 1.4 s; an older one is not offered again.
@@ -89,6 +97,8 @@
         self._services: dict[Address, Service] = {}
         self._former_pools: dict[Address, dict[PoolId, float]] = {}
         self._pending: deque[tuple[float, FlowEntry, Offer]] = deque()
+        self._late: list[tuple[float, int, FlowEntry]] = []
+        self._ticket = itertools.count()
         self._offered = anyio.Event()
         self._tags: dict[PoolId, int] = {}
         peers.register(Accepted, self._handle_accepted)
@@ -225,6 +235,8 @@
         entry = FlowEntry(
             frame.key, service.id, service.pools, now, now, data, frame.sequence
         )
+        entry.objective = service.objective
+        entry.delay = find_copy_delay(frame.copy)
         self._flows.add(entry)
         self.counts["starts"] += 1
         self._offer(entry, now)
@@ -273,6 +285,10 @@
         if candidate is None or len(tried) >= MAX_OFFERS:
             self._give_up_start(entry, now)
             return
+        if room == ROOM_ANY and self._may_wait(entry, now):
+            self.counts["late_starts_held"] += 1
+            self._postpone(entry, now)
+            return
         offer = Offer(candidate.id, now)
         entry.offers.append(offer)
         self._steering.note_offer(candidate)
@@ -281,6 +297,20 @@
             self._offered.set()
         self._pending.append((now + OFFER_TIMEOUT_S, entry, offer))
 
+    def _may_wait(self, entry: FlowEntry, now: float) -> bool:
+        """Returns whether a start that found no free slot is late anyway."""
+        if not entry.objective or now - entry.begun > LATE_LIMIT_S:
+            return False
+        return entry.delay + now - entry.begun > entry.objective
+
+    def _postpone(self, entry: FlowEntry, now: float) -> None:
+        """Offers a late start again after LATE_PERIOD_S."""
+        entry.declined.clear()
+        heapq.heappush(
+            self._late, (now + LATE_PERIOD_S, next(self._ticket), entry)
+        )
+        self._offered.set()
+
     def _choose_target(
         self, entry: FlowEntry, closed: set[TargetId], now: float
     ) -> tuple[Candidate | None, int]:
@@ -494,10 +524,13 @@
     async def follow_offers(self) -> None:
         """Checks each offer when its time is over, until cancelled."""
         while True:
-            if not self._pending:
-                self._offered = anyio.Event()
+            self._offered = anyio.Event()
+            due = min(
+                self._pending[0][0] if self._pending else math.inf,
+                self._late[0][0] if self._late else math.inf,
+            )
+            with anyio.CancelScope(deadline=due):
                 await self._offered.wait()
-            await anyio.sleep_until(self._pending[0][0])
             self.check_offers(anyio.current_time())
 
     def check_offers(self, now: float) -> None:
@@ -505,6 +538,10 @@
         while self._pending and self._pending[0][0] <= now:
             _, entry, offer = self._pending.popleft()
             self._check_offer(entry, offer, now)
+        while self._late and self._late[0][0] <= now:
+            _, _, entry = heapq.heappop(self._late)
+            if not entry.is_accepted and entry.start is not None:
+                self._offer(entry, now)
 
     def _check_offer(self, entry: FlowEntry, offer: Offer, now: float) -> None:
         """Offers a start to another target unless this offer was answered."""
--- a/jujuberun/watch.py
+++ b/jujuberun/watch.py
@@ -222,6 +222,7 @@
         if self._store.position:
             delay = choose_poll_delay(self._rng)
         else:
-            delay = self._pace.start_spread * self._rng.uniform(1, 2)
+            spread = self._pace.start_spread * self._rng.uniform(1, 2)
+            delay = max(delay, spread)
         with anyio.move_on_after(delay):
             await self._role_changed.wait()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,7 +3,15 @@
 import anyio
 import testtools
 from network import run_virtual
-from packetpath import ADDRESS, PORT, Caller, Fleet, Target, make_vm
+from packetpath import (
+    ADDRESS,
+    PORT,
+    Caller,
+    Fleet,
+    Target,
+    make_service,
+    make_vm,
+)
 
 from jujuberun.ids import PoolId, VmState
 
@@ -239,3 +247,21 @@
 
         run_virtual(run)
         self.assertGreater(relay.counts["starts_offered_again"], 0)
+
+    def test_late_start_leaves_the_queue_to_one_in_time(self):
+        # Guards against requests that miss their objective because those
+        # that missed it already stand before them, as after a restart of all
+        # daemons.
+        fleet = Fleet(balancers=1, targets=1, slots=1)
+        fleet.services = [make_service(objective=0.15)]
+        fleet.teach(generation=2)
+        self.open_flow(fleet)
+        late, prompt = Caller(fleet.net, 2), Caller(fleet.net, 3)
+        late.start(fleet.balancers[0], copy=1)
+        prompt.start(fleet.balancers[0])
+        fleet.net.run()
+        self.assertIsNone(late.accepted)
+        self.assertIsNotNone(prompt.accepted)
+        for _ in range(20):
+            fleet.check_offers()
+        self.assertIsNotNone(late.accepted)
