--- a/jujuberun/logs.py
+++ b/jujuberun/logs.py
@@ -107,7 +107,7 @@
         self, msg: Any, kwargs: MutableMapping[str, Any]
     ) -> tuple[Any, MutableMapping[str, Any]]:
         """Adds the prefix to the line and the part to its JSON fields."""
-        extra = {**kwargs.get("extra", {}), "part": self.part}
+        extra = {**(kwargs.get("extra") or {}), "part": self.part}
         return f"{self.part}: {msg}", {**kwargs, "extra": extra}
 
     def log_limited(
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -2,7 +2,6 @@
 
 import heapq
 import itertools
-import logging
 import math
 from collections import Counter, deque
 from typing import Any
@@ -11,6 +10,7 @@
 from anyio.abc import TaskStatus
 
 from jujuberun.addresses import format_address
+from jujuberun.decisions import DecisionLog
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
 from jujuberun.frames import (
     ROOM_ANY,
@@ -24,7 +24,6 @@
 )
 from jujuberun.generations import Generations, Version
 from jujuberun.ids import Address, DomainId, PoolId, Protocol, TargetId
-from jujuberun.logs import find_logger
 from jujuberun.manifest import Service
 from jujuberun.members import Members, VmList
 from jujuberun.peers import Peers
@@ -49,8 +48,6 @@
 DRAIN_POLL_S = 0.05
 POOL_HISTORY_S = 60.0
 
-_log = find_logger("relay")
-
 
 class Relay:
     """Part "balancer" for services whose targets end their flows themselves.
@@ -86,6 +83,7 @@
         """
         self.counts: Counter[str] = Counter()
         self.used = 0.0
+        self._log = DecisionLog("relay")
         self._port = port
         self._codec = codec
         self._peers = peers
@@ -248,14 +246,13 @@
             self.counts["dropped_unready"] += 1
             return
         self.counts["reset_no_service"] += 1
-        _log.log_limited(
-            logging.INFO,
-            "no-service",
+        self._log.write(
+            "start refused: no service at the address",
             now,
-            "Flow of %s reset: generation %d has no service at %s.",
-            format_address(find_caller(frame.key)),
-            self._version.manifest.generation,
-            format_address(find_service(frame.key)),
+            flow=format_address(find_caller(frame.key)),
+            address=format_address(find_service(frame.key)),
+            generation=self._version.manifest.generation,
+            outcome="reset, not run",
         )
         self._send_reset(frame)
 
@@ -287,6 +284,14 @@
             return
         if room == ROOM_ANY and self._may_wait(entry, now):
             self.counts["late_starts_held"] += 1
+            self._log.write(
+                "late start held: no free slot",
+                now,
+                flow=format_address(find_caller(entry.key)),
+                service=entry.service,
+                declined=len(entry.declined),
+                late_ms=round((entry.delay + now - entry.begun) * 1000),
+            )
             self._postpone(entry, now)
             return
         offer = Offer(candidate.id, now)
@@ -351,14 +356,15 @@
             return
         entry.ended = True
         self.counts["reset_no_target"] += 1
-        _log.log_limited(
-            logging.INFO,
-            ("no-target", entry.service),
+        self._log.write(
+            "start refused: every target returned it",
             now,
-            "Flow of %s to %s reset, not run: %d targets returned its start.",
-            format_address(find_caller(entry.key)),
-            entry.service,
-            len(entry.refused),
+            flow=format_address(find_caller(entry.key)),
+            service=entry.service,
+            refused=sorted(entry.refused),
+            targets=self._members.position,
+            after_ms=round((now - entry.begun) * 1000),
+            outcome="reset, not run",
         )
         self._send_reset(frame)
 
@@ -385,6 +391,12 @@
         )
         self._flows.add(entry)
         self.counts["flows_adopted"] += 1
+        self._log.write(
+            "flow adopted: it began at another balancer",
+            now,
+            flow=format_address(find_caller(frame.key)),
+            service=service.id,
+        )
         return entry
 
     def _send_on(
@@ -416,27 +428,26 @@
             # It began elsewhere. Its target may be one that is unknown here,
             # so a reset could cut a flow that lives.
             self.counts["dropped_no_owner"] += 1
-            _log.log_limited(
-                logging.INFO,
-                ("no-owner", entry.service),
+            self._log.write(
+                "packet dropped: no target holds its flow",
                 now,
-                "Packet of %s to %s dropped: %d targets returned it.",
-                caller,
-                entry.service,
-                len(entry.refused),
+                flow=caller,
+                service=entry.service,
+                refused=sorted(entry.refused),
+                targets=self._members.position,
+                outcome="none",
             )
             return
         if frame.resets:
             return
         self.counts["reset_lost_flow"] += 1
-        _log.log_limited(
-            logging.INFO,
-            ("lost-flow", entry.service),
+        self._log.write(
+            "flow reset: its target does not hold it any more",
             now,
-            "Flow of %s to %s reset, outcome unknown: target %s lost it.",
-            caller,
-            entry.service,
-            entry.offers[-1].target,
+            flow=caller,
+            service=entry.service,
+            target=entry.offers[-1].target,
+            outcome="reset, unknown",
         )
         self._send_reset(frame)
 
@@ -475,6 +486,21 @@
         if offer is None:
             offer = Offer(candidate.id, now)
             entry.offers.append(offer)
+        if offer.sequence is None:
+            self._log.write(
+                "start accepted",
+                now,
+                flow=format_address(find_caller(entry.key)),
+                service=entry.service,
+                target=candidate.id,
+                busy=accepted.busy,
+                offers=len(entry.offers),
+                declined=len(entry.declined),
+                after_ms=round((now - entry.begun) * 1000),
+                delay_ms=round(entry.delay * 1000),
+                generation=self._version.manifest.generation,
+                targets=self._members.position,
+            )
         offer.sequence = accepted.sequence
         entry.refused.discard(candidate.id)
 
@@ -551,13 +577,12 @@
         candidate = self._steering.find(offer.target)
         if candidate is not None and self._steering.note_miss(candidate, now):
             self.counts["suspicions"] += 1
-            _log.log_limited(
-                logging.WARNING,
-                ("suspected", candidate.id),
+            self._log.write(
+                "target suspected: starts were not confirmed",
                 now,
-                "Target %s suspected: no start confirmed for %.2f s.",
-                candidate.id,
-                now - candidate.reported,
+                target=candidate.id,
+                heard_before_s=round(now - candidate.reported, 3),
+                until_s=round(candidate.suspected_until - now, 3),
             )
         if entry.is_accepted or entry.start is None:
             return
@@ -565,6 +590,14 @@
             entry.start = None
             return
         self.counts["starts_offered_again"] += 1
+        self._log.write(
+            "start offered again: not confirmed in time",
+            now,
+            flow=format_address(find_caller(entry.key)),
+            service=entry.service,
+            target=offer.target,
+            after_ms=round((now - offer.sent) * 1000),
+        )
         self._offer(entry, now)
 
     async def _maintain(self) -> None:
--- a/tests/packetpath.py
+++ b/tests/packetpath.py
@@ -119,7 +119,9 @@
         self.host = host
         peers = FakePeers(net, host)
         generations = SimpleNamespace(subscribe=lambda listener: None)
-        members = SimpleNamespace(subscribe=lambda listener: None, text=b"x")
+        members = SimpleNamespace(
+            subscribe=lambda listener: None, text=b"x", position=1
+        )
         port = FakePort(net, (host, PORT))
         self.relay = Relay(
             port, CODEC, peers, generations, members, DomainId("a"), 1000
