Bound the queue at a target by the time that callers still wait

Cause: after all daemons restarted, the surge went to the first agents that were up (43 starts at 5 targets in 0.2 s, 18 busy flows each), and load that was reported 80 ms ago counted as none.

A start now asks for room: a free slot first, then a queue that still lets it be answered in time; any other one is held at its balancer and offered again. Reported load is worked off at the pace of the slots.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -44,10 +44,11 @@
         sequence: first sequence number of the caller.
         offers: targets that the start was sent to, in order.
         declined: targets that have no free slot for it.
+        declines: how often they declined since it was held last.
         refused: targets that returned one of its packets.
         refused_at: when the last of them did.
         ended: the start was refused towards the caller.
-        objective: seconds in which the caller wants an answer, 0 if unknown.
+        objective: seconds in which the caller wants an answer.
         delay: seconds from the caller's first start packet to the one that
             came here first.
     """
@@ -61,6 +62,7 @@
     sequence: int = 0
     offers: list[Offer] = field(default_factory=list)
     declined: set[TargetId] = field(default_factory=set)
+    declines: int = 0
     refused: set[TargetId] = field(default_factory=set)
     refused_at: float = 0.0
     ended: bool = False
@@ -77,6 +79,10 @@
         """Ids of its pools."""
         return tuple(share.pool for share in self.pools)
 
+    def compute_left(self, now: float) -> float:
+        """Returns the seconds in which an answer is still in time."""
+        return self.objective - self.delay - (now - self.begun)
+
     def find_offer(self, target: TargetId) -> Offer | None:
         """Returns the last offer to a target."""
         for offer in reversed(self.offers):
--- a/jujuberun/frames.py
+++ b/jujuberun/frames.py
@@ -9,11 +9,11 @@
 
 # Caller and service address, each 4 bytes IPv4 and 2 bytes port.
 KEY_BYTES = 12
-# A mark is the tag of a pool, and the number of busy flows up to which an agent
-# takes a start.
-ROOM_BITS = 16
-ROOM_MASK = 0xFFFF
-ROOM_ANY = 0xFF  # the agent takes the start whatever its load is
+# A mark is the tag of a pool, the slots of the target, and the number of busy
+# flows below which its agent takes a start.
+_TAG_BITS, _SLOT_BITS, _ROOM_BITS = 16, 8, 8
+ROOM_ANY = (1 << _ROOM_BITS) - 1  # the agent takes the start in any case
+_MAX_SLOTS = (1 << _SLOT_BITS) - 1
 # Seconds after its first start packet at which a caller sends each copy.
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
 _SEQUENCE_SPACE = 1 << 32
@@ -73,7 +73,26 @@
 
 def make_tag(pool: PoolId) -> int:
     """Returns 16 bits by which an agent recognises packets of its pool."""
-    return xxhash.xxh3_64_intdigest(pool.encode()) & 0xFFFF
+    return xxhash.xxh3_64_intdigest(pool.encode()) % (1 << _TAG_BITS)
+
+
+def make_mark(tag: int, slots: int, room: int) -> int:
+    """Returns the mark of a packet to an agent.
+
+    Args:
+        tag: of the pool.
+        slots: requests that the target runs at the same time.
+        room: busy flows below which the agent takes a start, or ROOM_ANY.
+    """
+    slots = min(slots, _MAX_SLOTS)
+    return (tag << _SLOT_BITS | slots) << _ROOM_BITS | room
+
+
+def split_mark(mark: int) -> tuple[int, int, int]:
+    """Returns tag, slots and room of a mark."""
+    room = mark & ROOM_ANY
+    slots = mark >> _ROOM_BITS & _MAX_SLOTS
+    return mark >> (_SLOT_BITS + _ROOM_BITS), slots, room
 
 
 def find_caller(key: bytes) -> Address:
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -14,12 +14,12 @@
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
 from jujuberun.frames import (
     ROOM_ANY,
-    ROOM_BITS,
     Frame,
     FrameCodec,
     find_caller,
     find_copy_delay,
     find_service,
+    make_mark,
     make_tag,
 )
 from jujuberun.generations import Generations, Version
@@ -37,11 +37,13 @@
 
 IDLE_S = 20.0  # a flow without packets is looked up anew after this time
 MAINTAIN_S = 1.0
-# A start that is too late for its objective waits for a free slot, so that it
-# does not delay those that are in time; it is offered again in this period.
-LATE_PERIOD_S = 0.05
-LATE_LIMIT_S = 0.8  # from its first packet here; then it queues at a target
-MAX_DECLINES = 3  # targets that are asked for a free slot before one must queue
+# A start that finds no place is offered again in this period. The time that a
+# slot takes to become free is about as long.
+HOLD_PERIOD_S = 0.03
+HOLD_LIMIT_S = 0.8  # from its first packet here; then it queues in any case
+MAX_FREE_TRIES = 3  # targets that are asked for a free slot
+MAX_QUEUE_TRIES = 2  # targets that are then asked for a short queue
+DEFAULT_OBJECTIVE_S = 0.5  # of services that state none
 MAX_OFFERS = 4  # targets that a start is offered to in all
 # A caller gives a start up after 1.4 s; an older one is not offered again.
 START_LIFE_S = 1.3
@@ -95,7 +97,7 @@
         self._services: dict[Address, Service] = {}
         self._former_pools: dict[Address, dict[PoolId, float]] = {}
         self._pending: deque[tuple[float, FlowEntry, Offer]] = deque()
-        self._late: list[tuple[float, int, FlowEntry]] = []
+        self._held: list[tuple[float, int, FlowEntry]] = []
         self._ticket = itertools.count()
         self._offered = anyio.Event()
         self._tags: dict[PoolId, int] = {}
@@ -233,7 +235,7 @@
         entry = FlowEntry(
             frame.key, service.id, service.pools, now, now, data, frame.sequence
         )
-        entry.objective = service.objective
+        entry.objective = service.objective or DEFAULT_OBJECTIVE_S
         entry.delay = find_copy_delay(frame.copy)
         self._flows.add(entry)
         self.counts["starts"] += 1
@@ -282,17 +284,8 @@
         if candidate is None or len(tried) >= MAX_OFFERS:
             self._give_up_start(entry, now)
             return
-        if room == ROOM_ANY and self._may_wait(entry, now):
-            self.counts["late_starts_held"] += 1
-            self._log.write(
-                "late start held: no free slot",
-                now,
-                flow=format_address(find_caller(entry.key)),
-                service=entry.service,
-                declined=len(entry.declined),
-                late_ms=round((entry.delay + now - entry.begun) * 1000),
-            )
-            self._postpone(entry, now)
+        if room is None:
+            self._hold(entry, now)
             return
         offer = Offer(candidate.id, now)
         entry.offers.append(offer)
@@ -302,42 +295,52 @@
             self._offered.set()
         self._pending.append((now + OFFER_TIMEOUT_S, entry, offer))
 
-    def _may_wait(self, entry: FlowEntry, now: float) -> bool:
-        """Returns whether a start that found no free slot is late anyway."""
-        if not entry.objective or now - entry.begun > LATE_LIMIT_S:
-            return False
-        return entry.delay + now - entry.begun > entry.objective
-
-    def _postpone(self, entry: FlowEntry, now: float) -> None:
-        """Offers a late start again after LATE_PERIOD_S."""
-        entry.declined.clear()
-        heapq.heappush(
-            self._late, (now + LATE_PERIOD_S, next(self._ticket), entry)
+    def _hold(self, entry: FlowEntry, now: float) -> None:
+        """Offers a start again after HOLD_PERIOD_S."""
+        self.counts["starts_held"] += 1
+        self._log.write(
+            "start held: no place at a target",
+            now,
+            flow=format_address(find_caller(entry.key)),
+            service=entry.service,
+            declined=len(entry.declined),
+            left_ms=round(entry.compute_left(now) * 1000),
         )
+        entry.declined.clear()
+        entry.declines = 0
+        due = now + HOLD_PERIOD_S
+        heapq.heappush(self._held, (due, next(self._ticket), entry))
         self._offered.set()
 
     def _choose_target(
         self, entry: FlowEntry, closed: set[TargetId], now: float
-    ) -> tuple[Candidate | None, int]:
+    ) -> tuple[Candidate | None, int | None]:
         """Returns the target to offer a start to, and the room it must have.
 
-        A target with a free slot comes first, then the one with the shortest
-        queue, and one that is suspected only when there is no other.
+        A target with a free slot comes first. A start that can still be
+        answered in time may then queue. Any other one is held, without a
+        room, until a slot is free or its time is over.
         """
         choose = self._steering.choose
-        if len(entry.declined) < MAX_DECLINES:
+        if entry.declines < MAX_FREE_TRIES:
             free = choose(entry.pools, entry.key, closed | entry.declined, now)
             if free is not None:
                 return free, min(free.slots, ROOM_ANY - 1)
         queue = choose(entry.pools, entry.key, closed, now)
         if queue is None:
             queue = choose(entry.pools, entry.key, closed, now, trust_all=True)
-        return queue, ROOM_ANY
+        if queue is None or now - entry.begun > HOLD_LIMIT_S:
+            return queue, ROOM_ANY
+        room = self._steering.compute_room(queue, entry.compute_left(now))
+        tries = MAX_FREE_TRIES + MAX_QUEUE_TRIES
+        if room > queue.slots and entry.declines < tries:
+            return queue, min(room, ROOM_ANY - 1)
+        return queue, None
 
     def _send_start(
         self, entry: FlowEntry, candidate: Candidate, room: int
     ) -> None:
-        mark = self._find_tag(candidate.pool) << ROOM_BITS | room
+        mark = make_mark(self._find_tag(candidate.pool), candidate.slots, room)
         data = self._codec.set_mark(entry.start, mark)
         self._port.send(data, candidate.agent)
 
@@ -409,7 +412,8 @@
         if candidate is None:
             self._note_lost(entry, frame, now)
             return
-        mark = self._find_tag(candidate.pool) << ROOM_BITS | ROOM_ANY
+        tag = self._find_tag(candidate.pool)
+        mark = make_mark(tag, candidate.slots, ROOM_ANY)
         self._port.send(self._codec.set_mark(data, mark), candidate.agent)
 
     def _search(self, entry: FlowEntry, now: float) -> Candidate | None:
@@ -521,6 +525,7 @@
             entry.refused.add(candidate.id)
         else:
             entry.declined.add(candidate.id)
+            entry.declines += 1
         if entry.start is None or entry.is_accepted:
             return
         if not any(not offer.missed for offer in entry.offers):
@@ -553,7 +558,7 @@
             self._offered = anyio.Event()
             due = min(
                 self._pending[0][0] if self._pending else math.inf,
-                self._late[0][0] if self._late else math.inf,
+                self._held[0][0] if self._held else math.inf,
             )
             with anyio.CancelScope(deadline=due):
                 await self._offered.wait()
@@ -564,8 +569,8 @@
         while self._pending and self._pending[0][0] <= now:
             _, entry, offer = self._pending.popleft()
             self._check_offer(entry, offer, now)
-        while self._late and self._late[0][0] <= now:
-            _, _, entry = heapq.heappop(self._late)
+        while self._held and self._held[0][0] <= now:
+            _, _, entry = heapq.heappop(self._held)
             if not entry.is_accepted and entry.start is not None:
                 self._offer(entry, now)
 
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -11,12 +11,11 @@
 
 from jujuberun.frames import (
     ROOM_ANY,
-    ROOM_BITS,
-    ROOM_MASK,
     Frame,
     FrameCodec,
     find_caller,
     make_tag,
+    split_mark,
 )
 from jujuberun.ids import Address, PoolId
 from jujuberun.logs import find_logger
@@ -51,6 +50,7 @@
         used: time of its last packet.
         waiting_since: since when it waits for an answer of the target, None
             while it does not.
+        queued: it began to wait while all slots were busy.
         has_asked: the caller has sent more than a start.
         accepted: the target has answered the start.
         caller_closed: the caller sends no more data.
@@ -61,6 +61,7 @@
     balancer: Address
     used: float
     waiting_since: float | None
+    queued: bool = False
     has_asked: bool = False
     accepted: bool = False
     caller_closed: bool = False
@@ -109,6 +110,7 @@
         self._busy = 0
         self._half_open: deque[tuple[float, SidecarFlow]] = deque()
         self._service_time = 0.0
+        self._slots = 0  # as balancers say
         self._ended = anyio.Event()
 
     async def run(
@@ -174,13 +176,16 @@
             if frame is None:
                 self.counts["malformed"] += 1
                 continue
-            if frame.mark >> ROOM_BITS != self._tag:
+            tag, slots, room = split_mark(frame.mark)
+            if tag != self._tag:
                 # Its address belonged to a target of another pool before.
                 self._refuse_pool(frame, data, sender, now)
                 continue
-            if frame.starts and not self._admit(frame, sender, now):
-                continue
-            if not frame.starts:
+            if frame.starts:
+                self._slots = slots
+                if not self._admit(frame, sender, room, now):
+                    continue
+            else:
                 self._note_request(frame, now)
             balancer = int.from_bytes(inet_aton(sender[0]), "big")
             marked = self._codec.set_mark(data, balancer)
@@ -219,14 +224,15 @@
         )
         self._port.send(self._codec.set_bounced(data), sender)
 
-    def _admit(self, frame: Frame, sender: Address, now: float) -> bool:
+    def _admit(
+        self, frame: Frame, sender: Address, room: int, now: float
+    ) -> bool:
         """Returns whether the target is offered the start of a flow."""
         flow = self._flows.get(frame.key)
         if flow is not None and not flow.has_asked:
             flow.balancer = sender
             return True
         self._release_half_open(now)
-        room = frame.mark & ROOM_MASK
         full = room < ROOM_ANY and self._busy >= room
         if self.draining or full:
             self.counts["declined"] += 1
@@ -275,7 +281,8 @@
             )
             self._peers.send(accepted, self._find_peer(flow.balancer))
         if frame.size and flow.waiting_since is not None:
-            self._note_service_time(now - flow.waiting_since)
+            if not flow.queued:
+                self._note_service_time(now - flow.waiting_since)
             self._set_waiting(flow, None)
         flow.target_closed |= frame.closes
         if frame.resets or (flow.caller_closed and flow.target_closed):
@@ -320,6 +327,9 @@
     def _set_waiting(self, flow: SidecarFlow, since: float | None) -> None:
         was, now = flow.waiting_since is not None, since is not None
         self._busy += now - was
+        if now and self._slots:
+            # The time of such a flow is not that of the target's work alone.
+            flow.queued = self._busy > self._slots
         flow.waiting_since = since
 
     def _find_peer(self, balancer: Address) -> Address:
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -17,11 +17,12 @@
 MISSES_TO_SUSPECT = 2  # offers in a row that nobody confirmed
 SUSPECT_S = 1.0  # first suspicion; doubles with each one in a row
 MAX_SUSPECT_S = 8.0
-# Reported load is used for about the time that a request takes.
-LOAD_FRESH_S = 0.08
 USUAL_SERVICE_S = 0.03  # of a target that reported no time yet
 SLOW_RATIO = 2.0  # against the median of its pool; less is within the noise
 WARMUP_RATIO = 1.6  # slowness of a target that has just started
+# Part of the time left that a start may queue: targets differ in speed, and the
+# time of their work varies by half.
+QUEUE_SHARE = 0.5
 COST_STEP_S = 0.005  # smaller differences of the expected wait are noise
 # Targets that left are still asked for the flows that they may hold.
 FORMER_S = 60.0
@@ -147,6 +148,17 @@
             ),
         )
 
+    def compute_room(self, candidate: Candidate, left: float) -> int:
+        """Returns how many busy flows let a start be answered in time.
+
+        Args:
+            candidate: target that it would queue at.
+            left: seconds that the caller still waits.
+        """
+        service = candidate.service_time or USUAL_SERVICE_S
+        wait = QUEUE_SHARE * (left - service)
+        return candidate.slots + max(0, int(candidate.slots * wait / service))
+
     def list_holders(
         self, pools: Collection[PoolId], key: bytes, now: float
     ) -> list[Candidate]:
@@ -262,12 +274,12 @@
         self, candidate: Candidate, usual: float, now: float
     ) -> tuple[int, float]:
         """Returns expected wait in steps of COST_STEP_S, and load."""
-        load = float(candidate.offered)
-        if now - candidate.reported < LOAD_FRESH_S:
-            load += candidate.busy
         service = candidate.service_time or usual
         if now < candidate.warm_at:
             service *= WARMUP_RATIO
+        # What was reported is worked off at the pace of the slots.
+        done = (now - candidate.reported) * candidate.slots / service
+        load = candidate.offered + max(0.0, candidate.busy - done)
         queued = max(0.0, load + 1 - candidate.slots) / candidate.slots
         cost = queued * service
         if service > SLOW_RATIO * usual:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -24,6 +24,13 @@
         self.assertIsNotNone(caller.accepted)
         return caller
 
+    def start_together(self, fleet, count):
+        """Starts flows at the same moment, at all balancers in turn."""
+        for number in range(count):
+            balancer = fleet.balancers[number % len(fleet.balancers)]
+            Caller(fleet.net, number + 1).start(balancer)
+        fleet.net.run()
+
     def ask(self, fleet, caller, balancer=0):
         """Sends one request and expects one answer."""
         answers = caller.answers
@@ -218,14 +225,12 @@
         # Guards against requests that queue at one target while another one
         # is idle.
         fleet = Fleet(balancers=2, targets=4, slots=1)
-        for number in range(4):
-            self.open_flow(fleet, number + 1, balancer=number % 2)
+        self.start_together(fleet, 4)
         self.assertEqual([1, 1, 1, 1], [len(t.flows) for t in fleet.targets])
 
     def test_start_without_a_free_slot_queues(self):
         fleet = Fleet(balancers=1, targets=4, slots=1)
-        for number in range(12):
-            self.open_flow(fleet, number + 1)
+        self.start_together(fleet, 12)
         self.assertEqual([3, 3, 3, 3], [len(t.flows) for t in fleet.targets])
 
     def test_late_wake_of_the_offer_check(self):
