--- a/jujuberun/daemon.py
+++ b/jujuberun/daemon.py
@@ -15,6 +15,7 @@
 from jujuberun.ids import Role
 from jujuberun.kernel import Kernel
 from jujuberun.logs import find_logger, set_up_logs
+from jujuberun.reload import Reloader
 from jujuberun.settings import Settings, load_settings
 
 EXIT_SETTINGS = 2
@@ -23,11 +24,14 @@
 logger = find_logger("daemon")
 
 
-async def run_daemon(settings: Settings, network: Network) -> int:
+async def run_daemon(settings: Settings, path: Path, network: Network) -> int:
     """Runs a daemon until it is stopped by a signal.
 
+    SIGHUP makes it read its settings again.
+
     Args:
         settings: checked settings.
+        path: the file that they come from.
         network: the network that it runs in.
 
     Returns:
@@ -39,11 +43,16 @@
     async with anyio.create_task_group() as group:
         await group.start(kernel.run)
         group.start_soon(_start_role, kernel, settings, network)
+        reloader = Reloader(path, settings, kernel)
+        group.start_soon(reloader.run)
         with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             first = True
-            async for _ in signals:
+            async for received in signals:
+                if received == signal.SIGHUP:
+                    reloader.reload()
+                    continue
                 if not first:
                     status = _note_forced_stop(kernel)
                     break
@@ -179,7 +188,8 @@
             pass
     set_up_logs(settings.log)
     try:
-        return anyio.run(run_daemon, settings, make_network(settings))
+        network = make_network(settings)
+        return anyio.run(run_daemon, settings, options.config, network)
     except (JujuberunError, OSError) as error:
         print(f"{prog}: {error}", file=sys.stderr)
         return 1
--- a/jujuberun/spread.py
+++ b/jujuberun/spread.py
@@ -88,6 +88,7 @@
         self.collect_loads: Callable[[], list[Any]] = list
         self.counts: Counter[str] = Counter()
         self._vm = vm
+        self._address = link.address
         self._seeds = tuple(s for s in seeds if s != link.address)
         self._generations = generations
         self._members = members
@@ -140,6 +141,12 @@
         """Waits until is_confirmed; at most about ASK_TIMEOUT_S."""
         await self._confirmed.wait()
 
+    def set_seeds(self, seeds: Sequence[Address]) -> None:
+        """Replaces the peers to ask while no other is known."""
+        self._seeds = tuple(s for s in seeds if s != self._address)
+        if self._roster is not None:
+            self._roster.set_seeds(self._seeds)
+
     def handle_status(self, status: Any, sender: Address, now: float) -> None:
         """Takes a Status from a peer.
 
