--- a/jujuberun/assembly.py
+++ b/jujuberun/assembly.py
@@ -63,6 +63,13 @@
     return settings.role is Role.BALANCER or settings.packet.address is None
 
 
+def find_role_part(settings: Settings) -> str:
+    """Returns the name of the part that carries the role's traffic."""
+    if settings.packet.address is None:
+        return settings.role.value
+    return "relay" if settings.role is Role.BALANCER else "sidecar"
+
+
 def add_role(
     kernel: Kernel,
     settings: Settings,
--- a/jujuberun/daemon.py
+++ b/jujuberun/daemon.py
@@ -10,7 +10,12 @@
 from result import Err, Ok
 
 from jujuberun.addresses import format_address
-from jujuberun.assembly import Network, add_role, assemble
+from jujuberun.assembly import (
+    Network,
+    add_role,
+    assemble,
+    find_role_part,
+)
 from jujuberun.errors import JujuberunError
 from jujuberun.ids import Role
 from jujuberun.kernel import Kernel
@@ -54,7 +59,7 @@
                     reloader.reload()
                     continue
                 if not first:
-                    status = _note_forced_stop(kernel)
+                    status = _note_forced_stop(kernel, settings)
                     break
                 first = False
                 logger.info("Graceful stop begins.")
@@ -110,7 +115,8 @@
     kernel: Kernel, settings: Settings, scope: anyio.CancelScope
 ) -> None:
     kernel.find("dump").draining = True
-    if not kernel.has(settings.role.value):
+    part = find_role_part(settings)
+    if not kernel.has(part):
         # It still waits for a manifest and serves nobody.
         scope.cancel()
         return
@@ -118,10 +124,10 @@
         case Role.BALANCER:
             quiet = settings.balancer.drain_timeout
             limit = settings.balancer.drain_limit
-            await kernel.find("balancer").drain(quiet, limit)
+            await kernel.find(part).drain(quiet, limit)
         case Role.AGENT:
             limit = settings.agent.drain_timeout
-            cut = await kernel.find("agent").drain(limit)
+            cut = await kernel.find(part).drain(limit)
             if kernel.has("runner"):
                 kernel.find("runner").draining = True
                 await kernel.find("link").drain(limit)
@@ -130,10 +136,11 @@
     scope.cancel()
 
 
-def _note_forced_stop(kernel: Kernel) -> int:
+def _note_forced_stop(kernel: Kernel, settings: Settings) -> int:
     cut = 0
-    if kernel.has("agent"):
-        cut = kernel.find("agent").count_flows()
+    part = find_role_part(settings)
+    if settings.role is Role.AGENT and kernel.has(part):
+        cut = kernel.find(part).count_flows()
     logger.warning("Second signal; %d flows are cut.", cut)
     return EXIT_FORCED
 
--- a/jujuberun/dump.py
+++ b/jujuberun/dump.py
@@ -24,7 +24,7 @@
 _READ_BYTES = 4096
 _JSON = "application/json"
 _TEXT = "text/plain; version=0.0.4; charset=utf-8"
-_EXPLAINERS = ("balancer", "agent")
+_EXPLAINERS = ("balancer", "agent", "relay", "sidecar")
 
 
 @dataclass(frozen=True, slots=True)
--- a/jujuberun/metrics.py
+++ b/jujuberun/metrics.py
@@ -15,13 +15,19 @@
     ProcessCollector,
     generate_latest,
 )
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
 from prometheus_client.metrics_core import Metric as Family
 from prometheus_client.registry import Collector
 
+from jujuberun.durations import Durations
 from jujuberun.kernel import Kernel
 from jujuberun.readings import (
     OWN_METRICS,
+    PACKET_METRICS,
     PREFIX,
     STATE_METRICS,
     Metric,
@@ -73,7 +79,7 @@
     def collect(self) -> Iterator[Family]:
         """Yields the metrics of all parts for the registry."""
         states = dict(self._read_states())
-        for metric in STATE_METRICS:
+        for metric in (*STATE_METRICS, *PACKET_METRICS):
             if metric.part not in states:
                 continue
             try:
@@ -98,6 +104,13 @@
 
 
 def _make_family(metric: Metric, value: Reading) -> Family:
+    if isinstance(value, Durations):
+        return HistogramMetricFamily(
+            PREFIX + metric.name,
+            metric.about,
+            buckets=value.list_buckets(),
+            sum_value=value.total,
+        )
     kinds = {"counter": CounterMetricFamily, "gauge": GaugeMetricFamily}
     kind = kinds[metric.kind]
     name = PREFIX + metric.name
--- a/jujuberun/readings.py
+++ b/jujuberun/readings.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+from jujuberun.durations import Durations
 from jujuberun.events import EXPECTED
 
 PREFIX = "jujuberun_"
 EVENTS_METRIC = "part_events_total"
 State = Mapping[str, Any]
-Reading = float | Mapping[str, float] | None
+Reading = float | Mapping[str, float] | Durations | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,8 @@
     @property
     def kind(self) -> str:
         """Type of the metric."""
+        if self.name.endswith("_duration_seconds"):
+            return "histogram"
         return "counter" if self.name.endswith("_total") else "gauge"
 
 
@@ -76,6 +79,16 @@
     return {key: state[key] for key in ("handed_on", "accepted", "expired")}
 
 
+def _count_targets(state: State) -> Reading:
+    states = Counter({"usable": 0, "suspected": 0, "leaving": 0})
+    for target in state["targets"].values():
+        if target["left"] or target["leaving"]:
+            states["leaving"] += 1
+        else:
+            states["suspected" if target["suspected"] else "usable"] += 1
+    return states
+
+
 def _sum_reads(state: State) -> Reading:
     return sum((Counter(reads) for reads in state["reads"]), Counter())
 
@@ -322,6 +335,56 @@
     ),
 )
 
+PACKET_METRICS = (
+    Metric(
+        "packet_flows",
+        "flows",
+        "",
+        "Packet flows that a balancer knows.",
+        "Close to balancer.cache_flows: raise it or add balancers.",
+        "relay",
+        _pick("flows"),
+    ),
+    Metric(
+        "packet_targets",
+        "targets",
+        "state",
+        "Registered targets as a balancer sees them.",
+        "suspected above 0 for minutes: jujuberun state names them.",
+        "relay",
+        _count_targets,
+    ),
+    Metric(
+        "start_duration_seconds",
+        "seconds",
+        "",
+        "Time from a start packet to its confirmation by an agent.",
+        "More above 0.05 than usual: targets are full or agents are silent; "
+        "read part_events_total of relay.",
+        "relay",
+        _pick("start_times"),
+    ),
+    Metric(
+        "busy_flows",
+        "flows",
+        "",
+        "Packet flows that wait for an answer of the target.",
+        "Above the slots for minutes: add targets.",
+        "sidecar",
+        _pick("busy"),
+    ),
+    Metric(
+        "answer_duration_seconds",
+        "seconds",
+        "",
+        "Time from a request to the first packet of its answer, queue of the "
+        "target included.",
+        "Longer than at other agents of the pool: check this target.",
+        "sidecar",
+        _pick("answer_times"),
+    ),
+)
+
 OWN_METRICS = (
     Metric(
         EVENTS_METRIC,
@@ -384,4 +447,4 @@
 
 def list_metrics() -> tuple[Metric, ...]:
     """Returns the table of every metric, in the order of the page."""
-    return (*STATE_METRICS, *OWN_METRICS)
+    return (*STATE_METRICS, *PACKET_METRICS, *OWN_METRICS)
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -11,6 +11,7 @@
 
 from jujuberun.addresses import format_address
 from jujuberun.decisions import DecisionLog
+from jujuberun.durations import Durations
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
 from jujuberun.frames import (
     ROOM_ANY,
@@ -52,7 +53,7 @@
 
 
 class Relay:
-    """Part "balancer" for services whose targets end their flows themselves.
+    """Part "relay": balancer of flows that targets end themselves.
 
     The target that holds a flow is the only state of record. What this part
     knows of a flow is a cache: without it a packet is sent to the targets
@@ -60,7 +61,7 @@
     it.
     """
 
-    name = "balancer"
+    name = "relay"
 
     def __init__(
         self,
@@ -100,6 +101,7 @@
         self._held: list[tuple[float, int, FlowEntry]] = []
         self._ticket = itertools.count()
         self._offered = anyio.Event()
+        self._start_times = Durations()
         self._tags: dict[PoolId, int] = {}
         peers.register(Accepted, self._handle_accepted)
         peers.register(Declined, self._handle_declined)
@@ -182,10 +184,10 @@
     def dump_state(self, now: float) -> dict[str, Any]:
         """Returns services, targets, flows and counts."""
         return {
-            "addresses": {},
             "services": len(self._services),
             "flows": len(self._flows),
             "targets": self._steering.describe(now),
+            "start_times": self._start_times,
             "counts": dict(self.counts),
         }
 
@@ -491,6 +493,7 @@
             offer = Offer(candidate.id, now)
             entry.offers.append(offer)
         if offer.sequence is None:
+            self._start_times.add(now - entry.begun)
             self._log.write(
                 "start accepted",
                 now,
@@ -586,7 +589,7 @@
                 "target suspected: starts were not confirmed",
                 now,
                 target=candidate.id,
-                heard_before_s=round(now - candidate.reported, 3),
+                heard_before_s=candidate.find_age(now),
                 until_s=round(candidate.suspected_until - now, 3),
             )
         if entry.is_accepted or entry.start is None:
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskStatus
 
+from jujuberun.durations import Durations
 from jujuberun.frames import (
     ROOM_ANY,
     Frame,
@@ -69,14 +70,14 @@
 
 
 class Sidecar:
-    """Part "agent" for a target that ends its flows itself.
+    """Part "sidecar": agent of a target that ends its flows itself.
 
     It knows which flows wait for an answer, and so whether a slot is free. It
     holds nothing that its target does not hold too: after a restart, packets
     of open flows go on.
     """
 
-    name = "agent"
+    name = "sidecar"
 
     def __init__(
         self,
@@ -110,6 +111,7 @@
         self._busy = 0
         self._half_open: deque[tuple[float, SidecarFlow]] = deque()
         self._service_time = 0.0
+        self._answer_times = Durations()
         self._slots = 0  # as balancers say
         self._ended = anyio.Event()
 
@@ -161,6 +163,7 @@
             "busy": self._busy,
             "service_time_s": round(self._service_time, 4),
             "draining": self.draining,
+            "answer_times": self._answer_times,
             "counts": dict(self.counts),
         }
 
@@ -281,6 +284,7 @@
             )
             self._peers.send(accepted, self._find_peer(flow.balancer))
         if frame.size and flow.waiting_since is not None:
+            self._answer_times.add(now - flow.waiting_since)
             if not flow.queued:
                 self._note_service_time(now - flow.waiting_since)
             self._set_waiting(flow, None)
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -67,6 +67,12 @@
     suspected_until: float = -math.inf
     left: float | None = None
 
+    def find_age(self, now: float) -> float | None:
+        """Returns seconds since its agent last reported, None if never."""
+        if self.reported == -math.inf:
+            return None
+        return round(now - self.reported, 3)
+
 
 class Steering:
     """Keeps the targets of all pools and chooses among them."""
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 
 from jujuberun.assembly import Network, add_role, assemble
+from jujuberun.durations import Durations
 from jujuberun.kernel import Kernel
 from jujuberun.manifest import parse_manifest
 from jujuberun.metrics import MAX_LABEL_VALUES, Metrics
@@ -15,6 +16,14 @@
 from jujuberun.settings import parse_settings
 from jujuberun.source import make_source
 
+
+def make_durations(*seconds):
+    durations = Durations()
+    for value in seconds:
+        durations.add(value)
+    return durations
+
+
 STATES = {
     "generations": {"generation": 4, "in_force_for_s": 2.5, "refused": []},
     "peers": {
@@ -39,6 +48,16 @@
         "draining": True,
         "counts": {"reset_no-owner": 1},
     },
+    "relay": {
+        "flows": 8,
+        "targets": {
+            "t1": {"left": False, "leaving": False, "suspected": True},
+            "t2": {"left": False, "leaving": True, "suspected": False},
+            "t3": {"left": False, "leaving": False, "suspected": False},
+        },
+        "start_times": make_durations(0.002, 0.3),
+    },
+    "sidecar": {"busy": 3, "answer_times": make_durations(0.04)},
     "runner": {
         "slots": 2,
         "running": 1,
@@ -107,6 +126,12 @@
             "refused_messages": {("mac",): 3},
             "cached_flows": {("label",): 5},
             "open_flows": {("label",): 7},
+            "packet_flows": {(): 8},
+            "packet_targets": {
+                ("usable",): 1,
+                ("suspected",): 1,
+                ("leaving",): 1,
+            },
             "draining": {(): 1},
             "requests": {("unknown",): 1},
             "suspected_targets": {("label",): 1},
@@ -137,6 +162,26 @@
             self.assertEqual({(): 0}, read_samples(found, "state_errors"))
             self.assertEqual(set(), {PREFIX + n for n in names} - set(found))
 
+    def test_real_parts_of_packet_roles(self):
+        # Guards against metrics that read what these parts do not have.
+        for role, names in (
+            ("balancer", {"packet_flows", "start_duration_seconds"}),
+            ("agent", {"busy_flows", "answer_duration_seconds"}),
+        ):
+            document = {**good_document, "role": role, "peer": "127.0.0.1:0"}
+            document["platform"] = {"manifest": "none.json", "vms": "none"}
+            document["packet"] = {
+                "address": "127.0.0.1:0",
+                "outbound": "127.0.0.1:0",
+                "target": "127.0.0.1:9",
+                "pool": "counts",
+            }
+            found = self.scrape_daemon(
+                parse_settings(document, Path("x")).unwrap()
+            )
+            self.assertEqual({(): 0}, read_samples(found, "state_errors"))
+            self.assertEqual(set(), {PREFIX + n for n in names} - set(found))
+
     def scrape_daemon(self, settings):
         """Returns the metrics of all parts of a daemon that does not run."""
         service = {**VALID["services"][0], "protocol": "datagram"}
