--- a/jujuberun/api.py
+++ b/jujuberun/api.py
@@ -18,6 +18,7 @@
     SettingsError,
 )
 from jujuberun.ids import Address, Outcome
+from jujuberun.logfiles import find_flow
 from jujuberun.manifest import MAX_MANIFEST_BYTES, Manifest, parse_manifest
 from jujuberun.measure import MEASUREMENTS, Options, Report
 from jujuberun.quic import make_client_tls
@@ -41,6 +42,7 @@
     "check_settings",
     "fetch_explanation",
     "fetch_state",
+    "find_flow",
     "find_plot_problem",
     "list_measurements",
     "make_reference",
--- a/jujuberun/cli.py
+++ b/jujuberun/cli.py
@@ -124,6 +124,19 @@
             return 0
 
 
+def _search_logs(options: argparse.Namespace) -> int:
+    flow = f"{options.flow[0]}:{options.flow[1]}"
+    try:
+        lines = api.find_flow(options.files, flow)
+    except OSError as error:
+        return _fail(f"{error.filename}: {error.strerror}")
+    if not lines:
+        return _fail(f"no line about {flow} in {len(options.files)} files")
+    for line in lines:
+        print(line.write())
+    return 0
+
+
 def _call(options: argparse.Namespace) -> int:
     send = partial(
         api.call,
@@ -208,11 +221,9 @@
     )
     _add_manifest(commands)
     _add_settings(commands)
-    for name, about in (
-        ("metrics", "list every metric with its unit and what to do"),
-        ("logs", "list every prefix of log lines"),
-    ):
-        _add_references(_add(commands, name, about), name)
+    about = "list every metric with its unit and what to do"
+    _add_references(_add(commands, "metrics", about), "metrics")
+    _add_logs(commands)
     _add_state(commands)
     _add_explain(commands)
     _add_call(commands)
@@ -297,6 +308,19 @@
     _add_json(parser)
 
 
+def _add_logs(commands: Any) -> None:
+    parser = _add(commands, "logs", "read logs, and list their prefixes")
+    actions = _add_references(parser, "logs")
+    about = "print what the daemons' logs tell of a flow"
+    flow = _add(actions, "flow", about, _search_logs)
+    flow.add_argument(
+        "flow", type=read_address, metavar="HOST:PORT", help="the caller"
+    )
+    flow.add_argument(
+        "files", type=Path, nargs="+", metavar="FILE", help="JSON log"
+    )
+
+
 def _add_call(commands: Any) -> None:
     about = "send one request to a service and print the body of the answer"
     parser = _add(commands, "call", about, _call)
--- a/jujuberun/measure.py
+++ b/jujuberun/measure.py
@@ -96,4 +96,5 @@
     "requests": "jujuberun.measure_requests:measure",
     "shares": "jujuberun.measure_shares:measure",
     "messages": "jujuberun.measure_messages:measure",
+    "packets": "jujuberun.measure_packets:measure",
 }
