--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -45,6 +45,8 @@
         offers: targets that the start was sent to, in order.
         declined: targets that have no free slot for it.
         declines: how often they declined since it was held last.
+        holds: how often it was held at the balancer.
+        is_held: it waits there for its next offer.
         refused: targets that returned one of its packets.
         refused_at: when the last of them did.
         ended: the start was refused towards the caller.
@@ -63,6 +65,8 @@
     offers: list[Offer] = field(default_factory=list)
     declined: set[TargetId] = field(default_factory=set)
     declines: int = 0
+    holds: int = 0
+    is_held: bool = False
     refused: set[TargetId] = field(default_factory=set)
     refused_at: float = 0.0
     ended: bool = False
--- a/jujuberun/measure_packets.py
+++ b/jujuberun/measure_packets.py
@@ -89,7 +89,7 @@
 
 def _make_relay(size: int) -> Relay:
     members = SimpleNamespace(text=b"x", position=1)
-    generations = SimpleNamespace()
+    generations = SimpleNamespace(position=1)
     port = SinkPort(_BALANCER, lambda data, address: None)
     peers = SinkPeers(("10.1.0.1", 7720))
     relay = Relay(
--- a/jujuberun/metrics.py
+++ b/jujuberun/metrics.py
@@ -25,9 +25,9 @@
 
 from jujuberun.durations import Durations
 from jujuberun.kernel import Kernel
+from jujuberun.packet_readings import PACKET_METRICS
 from jujuberun.readings import (
     OWN_METRICS,
-    PACKET_METRICS,
     PREFIX,
     STATE_METRICS,
     Metric,
@@ -136,3 +136,8 @@
             if isinstance(count, int):
                 family.add_metric([part, str(event)], count)
     return family
+
+
+def list_metrics() -> tuple[Metric, ...]:
+    """Returns the table of every metric, in the order of the page."""
+    return (*STATE_METRICS, *PACKET_METRICS, *OWN_METRICS)
--- /dev/null
+++ b/jujuberun/packet_readings.py
@@ -0,0 +1,66 @@
+"""Table of the metrics of packet flows."""
+
+from collections import Counter
+
+from jujuberun.readings import Metric, Reading, State, pick
+
+
+def _count_targets(state: State) -> Reading:
+    states = Counter({"usable": 0, "suspected": 0, "leaving": 0})
+    for target in state["targets"].values():
+        if target["left"] or target["leaving"]:
+            states["leaving"] += 1
+        else:
+            states["suspected" if target["suspected"] else "usable"] += 1
+    return states
+
+
+PACKET_METRICS = (
+    Metric(
+        "packet_flows",
+        "flows",
+        "",
+        "Packet flows that a balancer knows.",
+        "Close to balancer.cache_flows: raise it or add balancers.",
+        "relay",
+        pick("flows"),
+    ),
+    Metric(
+        "packet_targets",
+        "targets",
+        "state",
+        "Registered targets as a balancer sees them.",
+        "suspected above 0 for minutes: jujuberun state names them.",
+        "relay",
+        _count_targets,
+    ),
+    Metric(
+        "start_duration_seconds",
+        "seconds",
+        "",
+        "Time from a start packet to its confirmation by an agent.",
+        "More above 0.05 than usual: targets are full or agents are silent; "
+        "read part_events_total of relay.",
+        "relay",
+        pick("start_times"),
+    ),
+    Metric(
+        "busy_flows",
+        "flows",
+        "",
+        "Packet flows that wait for an answer of the target.",
+        "Above the slots for minutes: add targets.",
+        "sidecar",
+        pick("busy"),
+    ),
+    Metric(
+        "answer_duration_seconds",
+        "seconds",
+        "",
+        "Time from a request to the first packet of its answer, queue of the "
+        "target included.",
+        "Longer than at other agents of the pool: check this target.",
+        "sidecar",
+        pick("answer_times"),
+    ),
+)
--- a/jujuberun/readings.py
+++ b/jujuberun/readings.py
@@ -44,7 +44,7 @@
         return "counter" if self.name.endswith("_total") else "gauge"
 
 
-def _pick(*path: str) -> Callable[[State], Any]:
+def pick(*path: str) -> Callable[[State], Any]:
     def read(state: State) -> Any:
         value: Any = state
         for key in path:
@@ -79,16 +79,6 @@
     return {key: state[key] for key in ("handed_on", "accepted", "expired")}
 
 
-def _count_targets(state: State) -> Reading:
-    states = Counter({"usable": 0, "suspected": 0, "leaving": 0})
-    for target in state["targets"].values():
-        if target["left"] or target["leaving"]:
-            states["leaving"] += 1
-        else:
-            states["suspected" if target["suspected"] else "usable"] += 1
-    return states
-
-
 def _sum_reads(state: State) -> Reading:
     return sum((Counter(reads) for reads in state["reads"]), Counter())
 
@@ -101,7 +91,7 @@
         "Generation of the manifest in force.",
         "It must be equal on all processes 5 s after a publication.",
         "generations",
-        _pick("generation"),
+        pick("generation"),
     ),
     Metric(
         "generation_age_seconds",
@@ -119,7 +109,7 @@
         "Peers that this process has exchanged messages with.",
         EXPECTED,
         "peers",
-        _pick("known"),
+        pick("known"),
     ),
     Metric(
         "absent_peers",
@@ -140,7 +130,7 @@
         "malformed: a faulty network or a forger. unhandled, incomplete: "
         "compare versions.",
         "peers",
-        _pick("refused_messages"),
+        pick("refused_messages"),
     ),
     Metric(
         "cached_flows",
@@ -158,7 +148,7 @@
         "Flows that an agent owns.",
         "Close to connection_limit: add targets.",
         "agent",
-        _pick("flows"),
+        pick("flows"),
     ),
     Metric(
         "open_requests",
@@ -167,7 +157,7 @@
         "Requests in progress at an agent.",
         "Equal to the slots for minutes: add targets.",
         "agent",
-        _pick("open_requests"),
+        pick("open_requests"),
     ),
     Metric(
         "directory_flows",
@@ -176,7 +166,7 @@
         "Entries in the directory of an agent.",
         "Zero while others own flows of its services: report a fault.",
         "agent",
-        _pick("directory", "entries"),
+        pick("directory", "entries"),
     ),
     Metric(
         "unacknowledged_registrations",
@@ -185,7 +175,7 @@
         "Registrations that homes have not confirmed.",
         "Above 0 for minutes: a home is cut off; compare absent peers.",
         "agent",
-        _pick("registrar", "unacknowledged_messages"),
+        pick("registrar", "unacknowledged_messages"),
     ),
     Metric(
         "unsettled",
@@ -194,7 +184,7 @@
         "1 while an agent rebuilds its state after a start or a pause.",
         "1 for more than 10 s: the VM stands still again and again.",
         "agent",
-        _pick("unsettled"),
+        pick("unsettled"),
     ),
     Metric(
         "draining",
@@ -203,7 +193,7 @@
         "1 while a graceful stop waits for open work.",
         "Nothing; open work shows in open_flows.",
         "agent",
-        _pick("draining"),
+        pick("draining"),
     ),
     Metric(
         "slots",
@@ -212,7 +202,7 @@
         "Slots of the target beside an agent.",
         EXPECTED,
         "runner",
-        _pick("slots"),
+        pick("slots"),
     ),
     Metric(
         "busy_slots",
@@ -221,7 +211,7 @@
         "Slots that run a request.",
         "Equal to slots for minutes: add targets.",
         "runner",
-        _pick("running"),
+        pick("running"),
     ),
     Metric(
         "waiting_requests",
@@ -230,7 +220,7 @@
         "Requests that wait for a slot.",
         "Above 0 for minutes: add targets.",
         "runner",
-        _pick("waiting"),
+        pick("waiting"),
     ),
     Metric(
         "requests_total",
@@ -240,7 +230,7 @@
         "not-run: too little capacity. unknown: the target failed during "
         "requests; check it.",
         "runner",
-        _pick("outcomes"),
+        pick("outcomes"),
     ),
     Metric(
         "active_targets",
@@ -295,7 +285,7 @@
         "1 once peers or the platform confirmed the generation.",
         "0 for more than 10 s: it finds no peer; check seeds and network.",
         "spread",
-        _pick("confirmed"),
+        pick("confirmed"),
     ),
     Metric(
         "known_vms",
@@ -304,7 +294,7 @@
         "VMs in the platform's list.",
         "Compare with what was ordered.",
         "members",
-        _pick("vms"),
+        pick("vms"),
     ),
     Metric(
         "vm_list_age_seconds",
@@ -313,7 +303,7 @@
         "Time since this VM list arrived.",
         "Older than the last change of VMs: check the platform.",
         "members",
-        _pick("held_for_s"),
+        pick("held_for_s"),
     ),
     Metric(
         "link_sent_bytes_total",
@@ -322,7 +312,7 @@
         "Bytes sent to peers over TCP.",
         "Above 5 kB/s for minutes without requests: report a fault.",
         "link",
-        _pick("sent_bytes"),
+        pick("sent_bytes"),
     ),
     Metric(
         "link_received_bytes_total",
@@ -331,57 +321,7 @@
         "Bytes received from peers over TCP.",
         "Above 5 kB/s for minutes without requests: report a fault.",
         "link",
-        _pick("received_bytes"),
-    ),
-)
-
-PACKET_METRICS = (
-    Metric(
-        "packet_flows",
-        "flows",
-        "",
-        "Packet flows that a balancer knows.",
-        "Close to balancer.cache_flows: raise it or add balancers.",
-        "relay",
-        _pick("flows"),
-    ),
-    Metric(
-        "packet_targets",
-        "targets",
-        "state",
-        "Registered targets as a balancer sees them.",
-        "suspected above 0 for minutes: jujuberun state names them.",
-        "relay",
-        _count_targets,
-    ),
-    Metric(
-        "start_duration_seconds",
-        "seconds",
-        "",
-        "Time from a start packet to its confirmation by an agent.",
-        "More above 0.05 than usual: targets are full or agents are silent; "
-        "read part_events_total of relay.",
-        "relay",
-        _pick("start_times"),
-    ),
-    Metric(
-        "busy_flows",
-        "flows",
-        "",
-        "Packet flows that wait for an answer of the target.",
-        "Above the slots for minutes: add targets.",
-        "sidecar",
-        _pick("busy"),
-    ),
-    Metric(
-        "answer_duration_seconds",
-        "seconds",
-        "",
-        "Time from a request to the first packet of its answer, queue of the "
-        "target included.",
-        "Longer than at other agents of the pool: check this target.",
-        "sidecar",
-        _pick("answer_times"),
+        pick("received_bytes"),
     ),
 )
 
@@ -443,8 +383,3 @@
         EXPECTED,
     ),
 )
-
-
-def list_metrics() -> tuple[Metric, ...]:
-    """Returns the table of every metric, in the order of the page."""
-    return (*STATE_METRICS, *PACKET_METRICS, *OWN_METRICS)
--- a/tests/packetpath.py
+++ b/tests/packetpath.py
@@ -118,7 +118,9 @@
     def __init__(self, net, host):
         self.host = host
         peers = FakePeers(net, host)
-        generations = SimpleNamespace(subscribe=lambda listener: None)
+        generations = SimpleNamespace(
+            subscribe=lambda listener: None, position=1
+        )
         members = SimpleNamespace(
             subscribe=lambda listener: None, text=b"x", position=1
         )
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -11,10 +11,11 @@
 from jujuberun.durations import Durations
 from jujuberun.kernel import Kernel
 from jujuberun.manifest import parse_manifest
-from jujuberun.metrics import MAX_LABEL_VALUES, Metrics
-from jujuberun.readings import PREFIX, list_metrics
+from jujuberun.metrics import MAX_LABEL_VALUES, Metrics, list_metrics
+from jujuberun.readings import PREFIX
 from jujuberun.settings import parse_settings
 from jujuberun.source import make_source
+from jujuberun.standin_packets import PlainCodec
 
 
 def make_durations(*seconds):
@@ -188,7 +189,8 @@
         data = json.dumps({**VALID, "services": [service]}).encode()
 
         async def run():
-            network = Network(make_source(settings.platform, settings.vm))
+            source = make_source(settings.platform, settings.vm)
+            network = Network(source, PlainCodec())
             kernel = assemble(settings, network)
             manifest = parse_manifest(data).unwrap()
             add_role(kernel, settings, network, manifest)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -246,7 +246,7 @@
             fleet.net.run()
             async with anyio.create_task_group() as group:
                 # The offers of this network were due long ago.
-                group.start_soon(relay.follow_offers)
+                group.start_soon(relay._offers.follow)
                 await anyio.sleep(1)
                 group.cancel_scope.cancel()
 
