--- a/jujuberun/readings.py
+++ b/jujuberun/readings.py
@@ -45,6 +45,8 @@
 
 
 def pick(*path: str) -> Callable[[State], Any]:
+    """Returns what reads a value at a path of keys."""
+
     def read(state: State) -> Any:
         value: Any = state
         for key in path:
