--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -35,6 +35,9 @@
 MAINTAIN_S = 1.0
 DEFAULT_OBJECTIVE_S = 0.5  # of services that state none
 DRAIN_POLL_S = 0.05
+# Two failed readiness checks, half a second apart, take a balancer out of
+# rotation; before that, silence does not mean that no packets follow.
+READINESS_LAG_S = 1.2
 
 
 class Relay:
@@ -127,7 +130,9 @@
         while True:
             await anyio.sleep(DRAIN_POLL_S)
             now = anyio.current_time()
-            if now - max(self.used, begun) > quiet or now - begun > limit:
+            waited = now - begun
+            is_quiet = now - self.used > quiet and waited > READINESS_LAG_S
+            if is_quiet or waited > limit:
                 return
 
     def carry(self, batch: list[tuple[bytes, Address]], now: float) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -286,3 +286,25 @@
             self.open_flow(fleet, number)
         declined = fleet.balancers[0].relay.counts["declined"]
         self.assertLessEqual(declined, 1)
+
+    def test_stop_takes_no_longer_than_the_rotation(self):
+        # Guards against a balancer that is out of rotation for longer than
+        # its packets need: with two of three out, the network sends packets
+        # to those that are down too (docs/incidents/inc-3955.md).
+        fleet = Fleet(balancers=1)
+        relay = fleet.balancers[0].relay
+
+        async def stop(last_packet):
+            relay.used = anyio.current_time() + last_packet
+            begun = anyio.current_time()
+            await relay.drain(0.3, 4.5)
+            return anyio.current_time() - begun
+
+        for last_packet, least, most in (
+            (-9.0, 1.2, 1.3),
+            (1.0, 1.3, 1.4),
+            (2.0, 2.3, 2.4),
+            (9.0, 4.5, 4.6),
+        ):
+            waited = run_virtual(lambda last=last_packet: stop(last))
+            self.assertTrue(least <= waited <= most, waited)
