--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -98,6 +98,35 @@
 
         self.assertEqual(9, run_virtual(run))
 
+    def test_watch_goes_on_after_history_was_forgotten(self):
+        # Guards against a watch that asks for forgotten history for ever: it
+        # would cost two calls each half second and wait for nothing.
+        store = FakeStore()
+        store.put("op/config", make_configuration(7))
+        store.put("servers/i-1", make_entry())
+
+        async def run():
+            source = store.make_source()
+            manifest = await source.fetch(Kind.MANIFEST, 0, WAIT_S)
+            vms = await source.fetch(Kind.VMS, 0, WAIT_S)
+            for number in range(5):
+                store.put(f"other/{number}", b"x")
+            store.forget_history()
+            for _ in range(2):
+                await source.fetch(Kind.MANIFEST, manifest.index, WAIT_S)
+                found = await source.fetch(Kind.VMS, vms.index, WAIT_S)
+                vms = found or vms
+            store.calls.clear()
+            begun = anyio.current_time()
+            await source.fetch(Kind.MANIFEST, manifest.index, WAIT_S)
+            await source.fetch(Kind.VMS, vms.index, WAIT_S)
+            waited = anyio.current_time() - begun
+            return waited, [path for path, _ in store.calls]
+
+        waited, calls = run_virtual(run)
+        self.assertEqual(["/kv-watch", "/kv-watch"], calls)
+        self.assertGreaterEqual(waited, 2 * WAIT_S)
+
     def test_registrations_become_vms(self):
         store = FakeStore()
         for number in range(5):
