--- a/jujuberun/logs.py
+++ b/jujuberun/logs.py
@@ -1,6 +1,7 @@
 """Logging set-up, loggers with a prefix for each part, limited lines."""
 
 import logging
+import select
 import sys
 from collections.abc import MutableMapping
 from typing import Any, TextIO
@@ -36,6 +37,7 @@
     "offload": "Requests that agents pass to idle agents.",
     "caller": "The caller library.",
     "dump": "The admin address.",
+    "logs": "Lines that were dropped because nobody read the log.",
 }
 
 
@@ -86,6 +88,46 @@
         }
 
 
+class DroppingHandler(logging.StreamHandler):
+    """Writes lines, and drops those that would have to wait for the reader.
+
+    A daemon whose log is not read must go on carrying packets.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        """Args: stream of the lines."""
+        super().__init__(stream)
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes a line unless the stream is full."""
+        if not self._is_writable():
+            self.dropped += 1
+            return
+        dropped, self.dropped = self.dropped, 0
+        super().emit(record)
+        if dropped:
+            record = logging.LogRecord(
+                f"{ROOT}.logs",
+                logging.WARNING,
+                __file__,
+                0,
+                "logs: %d lines dropped: the log was not read.",
+                (dropped,),
+                None,
+            )
+            record.part = "logs"
+            super().emit(record)
+
+    def _is_writable(self) -> bool:
+        try:
+            _, ready, _ = select.select([], [self.stream], [], 0)
+        except (OSError, ValueError):
+            # Not a descriptor, such as a text buffer: it takes every line.
+            return True
+        return bool(ready)
+
+
 class _PartFilter(logging.Filter):
     """Names the part of records that a plain module logger wrote."""
 
@@ -143,9 +185,9 @@
 
     Args:
         settings: level and format.
-        stream: standard error when it is None.
+        stream: standard output when it is None.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = DroppingHandler(stream or sys.stdout)
     handler.setFormatter(_make_formatter(settings.format))
     handler.addFilter(_PartFilter())
     logger = logging.getLogger(ROOT)
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -25,10 +25,7 @@
 from jujuberun.peers import Peers
 from jujuberun.port import Port
 from jujuberun.servicemap import ServiceMap
-from jujuberun.steering import (
-    Candidate,
-    Steering,
-)
+from jujuberun.steering import Candidate, Steering
 from jujuberun.wire import pack_address
 
 IDLE_S = 20.0  # a flow without packets is looked up anew after this time
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,7 @@
 import io
 import json
 import logging
+import os
 
 from testtools import TestCase
 
@@ -64,3 +65,25 @@
             limiter.count(number, 1.0)
         self.assertTrue(len(limiter._written) <= MAX_KEYS)
         self.assertTrue(len(limiter._skipped) <= MAX_KEYS)
+
+
+class DroppingTest(TestCase):
+    def test_full_pipe_blocks_nothing(self):
+        # Guards against a daemon that stands still because its log is not
+        # read.
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        stream = os.fdopen(writer, "w")
+        self.addCleanup(stream.close)
+        self.addCleanup(set_up_logs, LogSettings())
+        set_up_logs(LogSettings(), stream)
+        logger = find_logger("daemon")
+        for number in range(5000):
+            logger.info("Line %d of many.", number)
+        os.set_blocking(reader, False)
+        read = os.read(reader, 1 << 20)
+        logger.info("Goes on.")
+        rest = os.read(reader, 1 << 20).decode()
+        self.assertIn(b"Line 0 of many", read)
+        self.assertIn("Goes on", rest)
+        self.assertIn("lines dropped", rest)
