Hold signals until the daemon handles them, and add a fault soak

Cause: a daemon sets up its signal handlers only after it has loaded its libraries and built its parts, about 0.3 s after its start. SIGHUP or SIGTERM in that time ended it with the signal's status.

Ruled out: the reload itself (no line of it was written); the soak's own start-up time, by waiting until the interpreter has had time to load.

The signals are now blocked in the first statements of the program and delivered once the handlers stand.

--- a/jujuberun/daemon.py
+++ b/jujuberun/daemon.py
@@ -22,6 +22,7 @@
 from jujuberun.logs import find_logger, set_up_logs
 from jujuberun.reload import Reloader
 from jujuberun.settings import Settings, load_settings
+from jujuberun.signals import hold_signals, release_signals
 
 EXIT_SETTINGS = 2
 EXIT_FORCED = 3
@@ -53,6 +54,7 @@
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
+            release_signals()
             first = True
             async for received in signals:
                 if received == signal.SIGHUP:
@@ -186,6 +188,7 @@
         Exit status: 0 after a graceful stop, 1 if it could not start,
         EXIT_SETTINGS for wrong settings, EXIT_FORCED after a second signal.
     """
+    hold_signals()
     options = make_parser(prog).parse_args(arguments)
     match load_settings(options.config):
         case Err(error):
--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -93,11 +93,11 @@
         return StoreSource(self, "http://store", AGENT_PORT)
 
     async def request(self, method, url, extensions):
-        response = await self._answer(url)
+        response = await self.answer(url)
         await response.aread()
         return response
 
-    async def _answer(self, url):
+    async def answer(self, url):
         parts = urlsplit(url)
         query = dict(parse_qsl(parts.query))
         self.calls.append((parts.path, query))
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real daemons as processes, faults from outside them."""
--- /dev/null
+++ b/tests/soak/cases.py
@@ -0,0 +1,5 @@
+"""Seeds that ever failed, with the cause; all are run again by --cases."""
+
+CASES: tuple[tuple[int, str], ...] = (
+    (100, "SIGHUP and SIGTERM ended daemons that had not yet set up handlers"),
+)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,23 @@
+"""A short soak: real daemons on loopback under faults, with a fixed seed."""
+
+import tempfile
+from pathlib import Path
+
+import anyio
+import testtools
+from soak.run import run_soak
+from soak.world import Size
+
+SEED = 7
+SECONDS = 6.0  # with faults; recovery and calm times come on top
+
+
+class SoakTest(testtools.TestCase):
+    def test_promises_hold_under_faults(self):
+        # Guards against faults that only real processes show: signals,
+        # restarts, lost connections and silence that overlap.
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = anyio.run(run_soak, SEED, SECONDS, Size(), Path(folder))
+            logs = [path.read_text() for path in Path(folder).glob("*.log")]
+        self.assertEqual((), outcome.broken, f"{outcome}\n{logs}")
+        self.assertGreater(outcome.results["answered"], 100)
