--- a/jujuberun/peers.py
+++ b/jujuberun/peers.py
@@ -201,12 +201,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._tick)
             task_status.started()
-            while True:
-                batch = await self.port.receive()
-                now = anyio.current_time()
-                now_ms = read_wall_clock()
-                for datagram, sender in batch:
-                    self.accept(datagram, sender, now, now_ms)
+            await self.port.serve(self._accept_batch)
 
     def accept(
         self, datagram: bytes, sender: Address, now: float, now_ms: int
@@ -226,6 +221,13 @@
                 self._note_heard(sender, envelope.sender, now)
                 self._dispatch(find_body(envelope), sender, now)
 
+    def _accept_batch(
+        self, batch: list[tuple[bytes, Address]], now: float
+    ) -> None:
+        now_ms = read_wall_clock()
+        for datagram, sender in batch:
+            self.accept(datagram, sender, now, now_ms)
+
     def check_silence(self, now: float) -> None:
         """Probes peers that owe an answer, and forgets unused ones."""
         for peer in list(self._peers.values()):
--- a/tests/network.py
+++ b/tests/network.py
@@ -39,6 +39,11 @@
         batch, self.inbox = self.inbox[:limit], self.inbox[limit:]
         return batch
 
+    async def serve(self, handle):
+        while True:
+            batch = await self.receive()
+            handle(batch, anyio.current_time())
+
     def take(self, data, sender):
         self.inbox.append((data, sender))
         self.wake.set()
