Add planned work to the soak, and describe it

After the recovery, the soak now stops daemons in turn, reloads, drains targets and changes the configuration, and expects that every request is answered.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -268,3 +268,10 @@
     crash_target,
     change_configuration,
 )
+# What operators and the platform do on any day: no request may fail by it.
+PLANNED: tuple[Fault, ...] = (
+    stop_in_turn,
+    reload_all,
+    drain_target,
+    change_configuration,
+)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,4 +1,4 @@
-"""One soak: a calm start, faults that overlap, recovery, a calm end."""
+"""One soak: a calm start, faults that overlap, recovery, planned work."""
 
 import random
 from dataclasses import dataclass
@@ -7,12 +7,12 @@
 import anyio
 
 from soak.callers import Result
-from soak.faults import FAULTS, Fault
+from soak.faults import FAULTS, PLANNED, Fault
 from soak.world import Size, World
 
 READY_LIMIT_S = 20.0  # until all balancers are in rotation
 RECOVERY_S = 12.0  # the platform's bound, after the last fault
-CALM_S = 4.0
+CALM_S = 6.0  # time in which every request has to be answered
 MOST_FAULTS = 4  # at the same time
 LEAST_PAUSE_S, MOST_PAUSE_S = 0.1, 1.2  # between the starts of two faults
 
@@ -59,9 +59,11 @@
         async with anyio.create_task_group() as users:
             world.start_load(group, users)
             await _check_calm(world, "before the faults")
-            await _inject(world, seconds, faults)
+            await _inject(world, FAULTS, seconds, faults)
             await anyio.sleep(RECOVERY_S)
-            await _check_calm(world, "after the recovery")
+            async with anyio.create_task_group() as planned:
+                planned.start_soon(_check_calm, world, "during planned work")
+                await _inject(world, PLANNED, CALM_S, faults)
             world.stop_load()
         world.promises.check_end()
         group.cancel_scope.cancel()
@@ -89,13 +91,15 @@
         world.promises.break_one("CALM", f"{when}: no request is answered")
 
 
-async def _inject(world: World, seconds: float, faults: list[str]) -> None:
+async def _inject(
+    world: World, kinds: tuple[Fault, ...], seconds: float, faults: list[str]
+) -> None:
     rng = world.rng
     limiter = anyio.CapacityLimiter(MOST_FAULTS)
     begun = anyio.current_time()
     async with anyio.create_task_group() as group:
         while anyio.current_time() < begun + seconds:
-            fault = rng.choice(FAULTS)
+            fault = rng.choice(kinds)
             group.start_soon(
                 _inject_one, world, fault, limiter, rng.getrandbits(32), faults
             )
