Ask several targets at once for the flow of a packet

Cause: a balancer that did not see the start of a flow asked one target after the other. Each hop waits for the balancer's event loop, which big configurations occupied at that time. Besides, a target that is silent returns nothing, so that the search ended there.

Ruled out: wrong marks or unknown senders of returned packets (the packets moved on from target to target until the flow was 2 s old).

Six targets are asked at once, the next six when all of them have returned the packet, or when the caller sends it again. Targets that do not hold the flow return their copies.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -49,6 +49,10 @@
         is_held: it waits there for its next offer.
         refused: targets that returned one of its packets.
         refused_at: when the last of them did.
+        asked: targets that were sent packets while none is known to hold the
+            flow.
+        last: sequence numbers of the caller's last packet, own and
+            acknowledged.
         ended: the start was refused towards the caller.
         objective: seconds in which the caller wants an answer.
         delay: seconds from the caller's first start packet to the one that
@@ -69,6 +73,8 @@
     is_held: bool = False
     refused: set[TargetId] = field(default_factory=set)
     refused_at: float = 0.0
+    asked: list[TargetId] = field(default_factory=list)
+    last: tuple[int, int] = (-1, -1)
     ended: bool = False
     objective: float = 0.0
     delay: float = 0.0
@@ -111,6 +117,15 @@
             ).target
         return open_offers[-1].target if open_offers else None
 
+    def is_repeated(self, frame: Frame) -> bool:
+        """Notes a packet; returns whether the caller has sent it before."""
+        before, self.last = self.last, (frame.sequence, frame.acknowledged)
+        return self.last == before and frame.size > 0
+
+    def list_asked(self) -> list[TargetId]:
+        """Returns the targets that were asked and may hold the flow."""
+        return [target for target in self.asked if target not in self.refused]
+
     def note_refusal(self, target: TargetId, now: float) -> None:
         """Notes that a target returned a packet of the flow."""
         self.refused.add(target)
@@ -120,6 +135,7 @@
         """Lets targets be tried anew after FORGET_REFUSALS_S."""
         if self.refused and now - self.refused_at > FORGET_REFUSALS_S:
             self.refused.clear()
+            self.asked.clear()
 
 
 class FlowTable:
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -17,7 +17,7 @@
     find_service,
 )
 from jujuberun.generations import Generations, Version
-from jujuberun.ids import Address, DomainId
+from jujuberun.ids import Address, DomainId, TargetId
 from jujuberun.manifest import Service
 from jujuberun.members import Members, VmList
 from jujuberun.offers import Offers
@@ -32,6 +32,10 @@
 MAINTAIN_S = 1.0
 DEFAULT_OBJECTIVE_S = 0.5  # of services that state none
 DRAIN_POLL_S = 0.05
+# Targets that are asked at once for the flow of a packet. One after the other,
+# 35 targets took more than 2 s where balancers were busy, and callers' packets
+# reached no target of theirs (tsa-yul-grown, trouble-1).
+ASK_TARGETS = 6
 # Two failed readiness checks, half a second apart, take a balancer out of
 # rotation; before that, silence does not mean that no packets follow.
 READINESS_LAG_S = 1.2
@@ -245,7 +249,17 @@
             if entry is None:
                 return
         entry.forget_refusals(now)
-        self._send_on(entry, frame, data, now)
+        owner = self._find_owner(entry, frame)
+        if owner is not None:
+            self._port.send_later(data, owner)
+            return
+        asked = entry.list_asked()
+        for target in asked:
+            self._send_to(target, data)
+        # A packet that is sent again has reached no target that holds its
+        # flow, or was lost: more of them are asked.
+        if entry.is_repeated(frame) or not asked:
+            self._ask_more(entry, frame, data, now)
 
     def _adopt(self, frame: Frame, now: float) -> FlowEntry | None:
         """Makes an entry for a flow that began at another balancer."""
@@ -268,26 +282,37 @@
         )
         return entry
 
-    def _send_on(
+    def _find_owner(self, entry: FlowEntry, frame: Frame) -> Candidate | None:
+        """Returns the target that is known to hold a flow."""
+        owner = entry.choose_owner(frame)
+        return None if owner is None else self._steering.find(owner)
+
+    def _send_to(self, target: TargetId, data: bytes) -> None:
+        candidate = self._steering.find(target)
+        if candidate is not None:
+            self._port.send_later(data, candidate)
+
+    def _ask_more(
         self, entry: FlowEntry, frame: Frame, data: bytes, now: float
     ) -> None:
-        owner = entry.choose_owner(frame)
-        candidate = None if owner is None else self._steering.find(owner)
-        if candidate is None:
-            candidate = self._search(entry, now)
-        if candidate is None:
-            self._note_lost(entry, frame, now)
-            return
-        self._port.send_later(data, candidate)
+        """Sends a packet to the next targets that may hold its flow.
 
-    def _search(self, entry: FlowEntry, now: float) -> Candidate | None:
-        """Returns the likeliest target that has not returned a packet."""
+        A target that does not hold it returns it, so that copies do no harm.
+        """
         former = self._services.list_former_pools(find_service(entry.key))
         pools = dict.fromkeys((*entry.pool_ids, *former))
+        closed = entry.refused.union(entry.asked)
+        sent = 0
         for candidate in self._steering.list_holders(pools, entry.key, now):
-            if candidate.id not in entry.refused:
-                return candidate
-        return None
+            if candidate.id in closed:
+                continue
+            entry.asked.append(candidate.id)
+            self._port.send_later(data, candidate)
+            sent += 1
+            if sent == ASK_TARGETS:
+                return
+        if not sent and not entry.list_asked():
+            self._note_lost(entry, frame, now)
 
     def _note_lost(self, entry: FlowEntry, frame: Frame, now: float) -> None:
         """Answers a packet whose flow no target holds any more."""
@@ -332,7 +357,7 @@
             entry.note_refusal(candidate.id, now)
         if not frame.starts:
             self.counts["bounced"] += 1
-            self._send_on(entry, frame, data, now)
+            self._carry_returned(entry, frame, data, now)
             return
         self.counts["starts_bounced"] += 1
         if entry.is_accepted or entry.start is None:
@@ -343,6 +368,18 @@
         if not entry.offers:
             self._offers.offer(entry, now)
 
+    def _carry_returned(
+        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
+    ) -> None:
+        """Sends a later packet that a target returned to other targets."""
+        owner = self._find_owner(entry, frame)
+        if owner is not None:
+            self._port.send_later(data, owner)
+            return
+        if not entry.list_asked():
+            # Others that were asked have copies of their own.
+            self._ask_more(entry, frame, data, now)
+
     async def _maintain(self) -> None:
         while True:
             await anyio.sleep(MAINTAIN_S)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -24,6 +24,18 @@
         self.assertIsNotNone(caller.accepted)
         return caller
 
+    def open_flow_at(self, fleet, number, holder):
+        """Opens a flow at a target, whatever place the hash gives it."""
+        for target in fleet.targets:
+            target.full = target is not holder
+        caller = Caller(fleet.net, number)
+        caller.start(fleet.balancers[0])
+        fleet.net.run(0.3)
+        self.assertIsNotNone(caller.accepted)
+        for target in fleet.targets:
+            target.full = False
+        return caller
+
     def start_together(self, fleet, count):
         """Starts flows at the same moment, at all balancers in turn."""
         for number in range(count):
@@ -54,6 +66,31 @@
             self.ask(fleet, caller, balancer=1)
             self.assertEqual(0, caller.resets)
 
+    def test_flow_is_found_within_few_round_trips(self):
+        # Guards against a search that asks one target after the other: with
+        # 35 targets and busy balancers it took more than 2 s, and broke the
+        # users' bound on flows (tsa-yul-grown, trouble-1).
+        fleet = Fleet(targets=35)
+        for number, target in enumerate(fleet.targets, 1):
+            caller = self.open_flow_at(fleet, number, target)
+            caller.ask(fleet.balancers[1])
+            # A round trip to a target takes 4 ms with its agent's part.
+            fleet.net.run(0.004 * 6 + 0.004)
+            self.assertEqual(1, caller.answers)
+
+    def test_silent_targets_do_not_end_the_search(self):
+        # Guards against a flow whose packets go to a dead target only, because
+        # that one never returns them.
+        fleet = Fleet(targets=20)
+        for number, target in enumerate(fleet.targets, 1):
+            caller = self.open_flow_at(fleet, number, target)
+            fleet.net.silent = {t.host for t in fleet.targets} - {target.host}
+            for _ in range(4):
+                caller.ask(fleet.balancers[1])
+                fleet.net.run()
+            self.assertGreater(caller.answers, 0)
+            fleet.net.silent = set()
+
     def test_open_flow_goes_on_after_all_daemons_restarted(self):
         # Guards against state that only a daemon holds.
         fleet = Fleet()
