Log which agents stop, and why a start is refused

An agent that stops changes what a balancer believes of its target, and a start whose time is over is not one that every target returned. Behaviour is unchanged.

--- a/jujuberun/offers.py
+++ b/jujuberun/offers.py
@@ -18,7 +18,12 @@
 from jujuberun.members import Members
 from jujuberun.packetport import PacketPort
 from jujuberun.peers import Peers
-from jujuberun.steering import OFFER_TIMEOUT_S, Candidate, Steering
+from jujuberun.steering import (
+    OFFER_TIMEOUT_S,
+    RESTART_S,
+    Candidate,
+    Steering,
+)
 from jujuberun.wire import Accepted, Declined
 
 # A start that finds no place is offered again in this period. The time that a
@@ -127,7 +132,7 @@
             offer.missed, offer.sent = False, now
             self._send(entry, offer, candidate, ROOM_ANY, now)
             return
-        self._give_up_start(entry, now)
+        self._give_up_start(entry, "every target returned it", now)
 
     def _send(
         self,
@@ -192,8 +197,8 @@
             return queue, min(room, ROOM_ANY - 1)
         return queue, None
 
-    def _give_up_start(self, entry: FlowEntry, now: float) -> None:
-        """Refuses a start when every target has refused it.
+    def _give_up_start(self, entry: FlowEntry, reason: str, now: float) -> None:
+        """Refuses a start that no target has or may still accept.
 
         While a target may still accept an offer, the caller is told nothing:
         a refusal has to be true.
@@ -208,7 +213,7 @@
         entry.ended = True
         self._counts["reset_no_target"] += 1
         self._log.write(
-            "start refused: every target returned it",
+            f"start refused: {reason}",
             now,
             flow=format_address(find_caller(entry.key)),
             service=entry.service,
@@ -265,7 +270,7 @@
         entry.declined.add(candidate.id)
         entry.declines += 1
         if declined.draining:
-            self._steering.note_stop(candidate, now)
+            self._note_stop(candidate, now)
         if entry.start is None or entry.is_accepted:
             return
         if any(not offer.missed for offer in entry.offers):
@@ -276,6 +281,18 @@
             return
         self.offer(entry, now)
 
+    def _note_stop(self, candidate: Candidate, now: float) -> None:
+        """Avoids a target whose agent is about to stop."""
+        if candidate.suspected_until <= now:
+            self._log.write(
+                "target avoided: its agent stops",
+                now,
+                target=candidate.id,
+                busy=candidate.busy,
+                for_s=RESTART_S,
+            )
+        self._steering.note_stop(candidate, now)
+
     def _has_other_target(self, entry: FlowEntry, now: float) -> bool:
         """Returns whether a target is left that has not declined a start."""
         tried = {offer.target for offer in entry.offers}
@@ -333,7 +350,7 @@
             if entry.is_accepted or entry.start is None:
                 continue
             if now - entry.begun > START_LIFE_S:
-                self._give_up_start(entry, now)
+                self._give_up_start(entry, "its time is over", now)
                 continue
             self.offer(entry, now)
 
