--- a/jujuberun/demo.py
+++ b/jujuberun/demo.py
@@ -14,6 +14,7 @@
 from anyio.abc import TaskGroup
 
 from jujuberun.caller import Caller, CallResult
+from jujuberun.canonical import dump_manifest
 from jujuberun.ids import (
     Address,
     Generation,
@@ -29,7 +30,6 @@
     Manifest,
     Service,
     Target,
-    dump_manifest,
 )
 from jujuberun.members import dump_vm_list
 from jujuberun.quic import make_client_tls
--- a/jujuberun/manifest.py
+++ b/jujuberun/manifest.py
@@ -10,7 +10,8 @@
 
 from result import Err, Ok, Result
 
-from jujuberun.addresses import format_address, parse_address
+from jujuberun.addresses import parse_address
+from jujuberun.canonical import KEPT_TEXTS, dump_manifest
 from jujuberun.errors import ManifestError
 from jujuberun.ids import (
     Address,
@@ -25,9 +26,6 @@
 from jujuberun.schema import Problem, compile_schema
 
 MAX_MANIFEST_BYTES = 1_000_000
-# Texts of services and targets that are kept: most entries of a new manifest
-# stood in the one before. More than the target scale has of either.
-KEPT_TEXTS = 8_192
 _STEP = "check manifest"
 _SHOWN_CHARACTERS = 60  # of a wrong value in an error
 
@@ -64,6 +62,13 @@
             return cls(FirstPacketRule.PREFIX, prefix)
         return cls(FirstPacketRule(text))
 
+    @property
+    def text(self) -> str:
+        """The rule as from_config reads it."""
+        if self.rule is FirstPacketRule.PREFIX:
+            return f"prefix:{self.prefix.hex()}"
+        return self.rule.value
+
     def accepts(self, payload: bytes) -> bool:
         """Returns whether the payload may start a flow."""
         match self.rule:
@@ -203,17 +208,6 @@
     return Ok(_build_manifest(document))
 
 
-def dump_manifest(manifest: Manifest) -> bytes:
-    """Returns the canonical JSON text of a manifest."""
-    services = ",".join(map(_dump_service, manifest.services.values()))
-    targets = ",".join(map(_dump_target, manifest.targets.values()))
-    text = (
-        f'{{"generation":{manifest.generation},'
-        f'"services":[{services}],"targets":[{targets}]}}'
-    )
-    return text.encode()
-
-
 def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     keys = dict(pairs)
     if len(keys) == len(pairs):
@@ -366,45 +360,4 @@
     )
 
 
-@lru_cache(KEPT_TEXTS)
-def _dump_service(service: Service) -> str:
-    first = service.first_packet
-    rule = first.rule.value
-    if first.rule is FirstPacketRule.PREFIX:
-        rule = f"prefix:{first.prefix.hex()}"
-    document: dict[str, Any] = {
-        "id": service.id,
-        "address": format_address(service.address),
-        "urgency": service.urgency.name.lower(),
-        # Equal numbers have one text, whatever their type.
-        "headroom": float(service.headroom),
-        "protocol": service.protocol.value,
-        "first_packet": rule,
-        "targets": list(service.targets),
-    }
-    if service.pools:
-        document["pools"] = [
-            {"pool": share.pool, "weight": share.weight}
-            for share in service.pools
-        ]
-    if service.idle_timeout:
-        document["idle_timeout"] = float(service.idle_timeout)
-    if service.objective:
-        document["objective"] = float(service.objective)
-    return json.dumps(document, separators=(",", ":"))
-
-
-@lru_cache(KEPT_TEXTS)
-def _dump_target(target: Target) -> str:
-    document = {
-        "id": target.id,
-        "address": format_address(target.address),
-        "agent": format_address(target.agent),
-        "domain": target.domain,
-        "slots": target.slots,
-        "connection_limit": target.connection_limit,
-    }
-    return json.dumps(document, separators=(",", ":"))
-
-
 _CHECK = compile_schema(load_schema())
--- a/jujuberun/measure_forwarding.py
+++ b/jujuberun/measure_forwarding.py
@@ -7,11 +7,11 @@
 
 from jujuberun.balancer import Balancer
 from jujuberun.cache import CacheBudget
+from jujuberun.canonical import dump_manifest
 from jujuberun.generations import Generations
 from jujuberun.ids import FlowId
 from jujuberun.limits import StartLimits
 from jujuberun.listener import Listener
-from jujuberun.manifest import dump_manifest
 from jujuberun.measure import Options, Report, Row
 from jujuberun.peers import Peers
 from jujuberun.port import BATCH_PACKETS, SocketPort
--- a/jujuberun/spread.py
+++ b/jujuberun/spread.py
@@ -18,6 +18,7 @@
 from jujuberun.lead import Lead
 from jujuberun.link import Link
 from jujuberun.members import Members, VmList
+from jujuberun.missed import MissedManifests
 from jujuberun.roster import Roster
 from jujuberun.source import Kind, Source
 from jujuberun.transfer import Store, Transfer
@@ -33,11 +34,6 @@
 # A process without a reply is confirmed after this time, so that a lone one
 # serves; an agent is unsettled as long after a start or a pause.
 ASK_TIMEOUT_S = 3.0
-_MAX_HISTORY_PEERS = 8
-# Peers that missed the same manifests need some time to fetch them. After a
-# restart of the whole fleet no peer holds them, and asking ends.
-_HISTORY_TRIES = 12
-_HISTORY_PERIOD_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -102,6 +98,7 @@
             Kind.VMS: members,
         }
         self._transfer = Transfer(link, generations, self._stores, read_clock)
+        self._missed = MissedManifests(self._transfer)
         self._leads = {kind: Lead() for kind in Kind}
         self._watches: list[Watch] = []
         if source is not None:
@@ -123,11 +120,6 @@
         self._asked_since: float | None = None
         self._token = 0
         self._confirmed = anyio.Event()
-        self._history_wanted = anyio.Event()
-        self._history_tries = 0
-        self._history_round = 0
-        self._history_peers: dict[Address, None] = {}
-        self._history_peer_known = anyio.Event()
         self._position = 0
         generations.subscribe(self._note_manifest)
         members.subscribe(self._note_members)
@@ -169,8 +161,8 @@
         )
         if status.replies is not None and status.replies == self._token:
             self._note_reply(ahead)
-        if self._history_wanted.is_set() and ahead == 0 and status.generation:
-            self._note_history_peer(sender)
+        if self._missed.is_wanted and ahead == 0 and status.generation:
+            self._missed.note_peer(sender)
         if status.asks is not None:
             self._send_status([sender], replies=status.asks)
         elif status.replies is None and (ahead < 0 or vms_ahead < 0):
@@ -208,14 +200,12 @@
         self._confirmed = anyio.Event()
         self._asked_since = now
         self._token = self._rng.getrandbits(60) + 1
-        self._want_history()
+        self._missed.want()
         self._repeat_ask(now)
 
     def end_history(self) -> None:
         """Asks for no earlier manifests until one is missed again."""
-        self._history_tries = 0
-        self._history_wanted = anyio.Event()
-        self._transfer.history_complete = True
+        self._missed.end()
 
     async def run(
         self, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -224,7 +214,7 @@
         async with anyio.create_task_group() as group:
             for kind in Kind:
                 group.start_soon(self._fetch_leads, kind)
-            group.start_soon(self._learn_history)
+            group.start_soon(self._missed.run)
             for watch in self._watches:
                 group.start_soon(watch.run, self._read_clock)
             task_status.started()
@@ -288,7 +278,7 @@
     def _note_manifest(self, version: Version) -> None:
         generation = version.manifest.generation
         if generation > self._position + 1:
-            self._want_history()
+            self._missed.want()
         self._position = generation
         self._push()
 
@@ -385,44 +375,5 @@
             case Ok(_):
                 self._leads[kind].forget(peer)
                 if kind is Kind.MANIFEST:
-                    self._note_history_peer(peer)
+                    self._missed.note_peer(peer)
                     self._confirm()
-
-    def _want_history(self) -> None:
-        self._transfer.history_complete = False
-        self._history_tries = _HISTORY_TRIES
-        self._history_round += 1
-        self._history_wanted.set()
-
-    def _note_history_peer(self, peer: Address) -> None:
-        if len(self._history_peers) < _MAX_HISTORY_PEERS:
-            self._history_peers[peer] = None
-            self._history_peer_known.set()
-
-    async def _learn_history(self) -> None:
-        """Fetches the manifests before the one in force from peers."""
-        while True:
-            await self._history_wanted.wait()
-            await self._history_peer_known.wait()
-            await self._fetch_history()
-            if not self._history_tries:
-                self.end_history()
-
-    async def _fetch_history(self) -> None:
-        peer = next(iter(self._history_peers))
-        del self._history_peers[peer]
-        if not self._history_peers:
-            self._history_peer_known = anyio.Event()
-        asked = self._history_round
-        try:
-            complete = await self._transfer.fetch_history(peer)
-        except LinkError as error:
-            logger.info("spread: %s", error)
-            return
-        if asked != self._history_round:
-            return  # More was missed during the call.
-        if complete:
-            self._history_tries = 0
-            return
-        self._history_tries -= 1
-        await anyio.sleep(_HISTORY_PERIOD_S)
--- a/jujuberun/standin_fleet.py
+++ b/jujuberun/standin_fleet.py
@@ -10,8 +10,9 @@
 from pathlib import Path
 
 from jujuberun.addresses import format_address
+from jujuberun.canonical import dump_manifest
 from jujuberun.ids import Address, DomainId, Role, TargetId, VmId, VmState
-from jujuberun.manifest import Manifest, dump_manifest
+from jujuberun.manifest import Manifest
 from jujuberun.members import Vm, VmList
 from jujuberun.standin_fabric import Fabric
 
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -10,12 +10,12 @@
 from jujuberun.agent import Agent
 from jujuberun.balancer import Balancer
 from jujuberun.beliefs import Beliefs
+from jujuberun.canonical import dump_manifest
 from jujuberun.flows import DatagramFlow
 from jujuberun.generations import Generations
 from jujuberun.ids import Generation, Role, VmId, VmState
 from jujuberun.limits import StartLimits
 from jujuberun.loads import TargetLoad
-from jujuberun.manifest import dump_manifest
 from jujuberun.members import Members, Vm, VmList, dump_vm_list
 from jujuberun.peers import Peers
 from jujuberun.wire import Codec, Signer, parse_reset
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -6,8 +6,8 @@
 
 from jujuberun.agent import Agent
 from jujuberun.beliefs import Beliefs
+from jujuberun.canonical import dump_manifest
 from jujuberun.generations import Generations
-from jujuberun.manifest import dump_manifest
 from jujuberun.members import Members
 from jujuberun.peers import Peers
 from jujuberun.standin_manifest import make_manifest
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -5,9 +5,9 @@
 from testtools.matchers import LessThan
 
 from jujuberun.balancer import BACKLOG_PACKETS, Balancer
+from jujuberun.canonical import dump_manifest
 from jujuberun.generations import Generations
 from jujuberun.limits import StartLimits
-from jujuberun.manifest import dump_manifest
 from jujuberun.peers import Peers
 from jujuberun.port import BATCH_PACKETS, SocketPort
 from jujuberun.standin_manifest import START_PREFIX, make_manifest
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -8,10 +8,10 @@
 from testtools import TestCase
 
 from jujuberun import manifest as manifest_module
+from jujuberun.canonical import dump_manifest
 from jujuberun.manifest import (
     MAX_MANIFEST_BYTES,
     FirstPacket,
-    dump_manifest,
     load_schema,
     parse_manifest,
 )
