Refuse negative loads of peers, and void checks of the soak on slow starts

Cause: a report with a negative load was taken, and the square root of the demand raised in the next update, which ended the agent.

Their logs show agents that served 2.8 to 3.0 s after their start, at a load of 20 on six cores; 0.4 s is usual. Bounds are unchanged.

--- a/jujuberun/beliefs.py
+++ b/jujuberun/beliefs.py
@@ -292,5 +292,7 @@
     known = None
     if load.busy is not None:
         known = TargetLoad(load.busy, load.queued, load.flows)
+        if min(load.busy, load.queued, load.flows) < 0:
+            raise ValueError(f"load of {load.target} is negative: {known}")
     claim = Claimed(bool(load.healthy), bool(load.draining), load.age / 1000)
     return LoadReport(load.target, known, claim)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -27,6 +27,10 @@
 # Nothing of a program runs before its interpreter does. A program that does not
 # keep signals pending after this time is sent them all the same.
 LOAD_LIMIT_S = 1.0
+# A daemon serves 0.4 s after its start on an idle machine. Where it takes
+# longer than this, the soak's machine makes packets late: beside two hunts of
+# the bench, agents took 2.8 s (seeds 3015, 3106, 3113).
+MAX_START_S = 1.0
 _POLL_S = 0.02
 
 
@@ -53,6 +57,7 @@
     _process: subprocess.Popen | None = None
     _killed: bool = False
     _started_at: float = 0.0
+    _log_bytes: int = 0
     _terminated_at: float | None = None
     _files: list = field(default_factory=list)
 
@@ -117,6 +122,7 @@
             "--config",
             str(settings),
         ]
+        self._log_bytes = self.log.stat().st_size
         self._killed = False
         self._terminated_at = None
         self._started_at = anyio.current_time()
@@ -132,6 +138,7 @@
             return
         while process.poll() is None:
             await anyio.sleep(_POLL_S)
+            self._watch_start(anyio.current_time())
             begun = self._terminated_at
             if begun is None or anyio.current_time() < begun + GRACE_S:
                 continue
@@ -144,6 +151,12 @@
         self._process = None
         self.ended.set()
 
+    def _watch_start(self, now: float) -> None:
+        """Notes a start that is slow: the first log line comes at its end."""
+        is_slow = now - self._started_at > MAX_START_S
+        if is_slow and self.log.stat().st_size == self._log_bytes:
+            self.promises.note_late(now)
+
     def _judge_end(self, status: int) -> None:
         if self._killed:
             return
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -11,7 +11,15 @@
 from jujuberun.members import Members
 from jujuberun.peers import Peers
 from jujuberun.standin_manifest import make_manifest
-from jujuberun.wire import Codec, Envelope, Forward, Signer, pack_address
+from jujuberun.wire import (
+    Codec,
+    Envelope,
+    Forward,
+    Load,
+    Loads,
+    Signer,
+    pack_address,
+)
 
 MANIFEST = make_manifest(2, 6)
 ADDRESS = pack_address(MANIFEST.services["s-0"].address)
@@ -114,3 +122,29 @@
         counts = anyio.run(main)
         self.assertTrue(peers.refused["incomplete"] > 0)
         self.assertTrue(counts["flows_created"] > 0)
+
+    def test_negative_load_of_a_peer_is_refused(self):
+        # Guards against a peer whose report ends the agent: the square root
+        # of a negative load raised in the next update (seen once in CI, when
+        # the machine was so slow that an update fell between the messages).
+        generations = Generations()
+        generations.offer(dump_manifest(MANIFEST), "test", 0.0).unwrap()
+        peers = Peers(FakePort(), Codec(Signer([b"k" * 16])))
+        peers.address = MANIFEST.targets["t-0"].agent
+
+        async def main():
+            beliefs = Beliefs(
+                "t-0", peers, generations, Members("vm"), random.Random(6)
+            )
+            for service in MANIFEST.services.values():
+                loads = [
+                    Load(name, -9000, 0, 0, 0, False, True)
+                    for name in service.targets
+                ]
+                message = Loads(service.id, loads)
+                peers._dispatch(message, ("127.0.0.1", 1), 100.0)
+            for step in range(200):
+                beliefs.update(100.0 + step)
+
+        anyio.run(main)
+        self.assertGreater(peers.refused["incomplete"], 0)
