Keep a daemon running after an unexpected error with one packet or answer

Found while looking for what operators of similar systems reported: a registration with WarmupLeftMs = 10**400, a route weight of Infinity, and an answer of the store without its list or with a wrong entry raised errors that ended the process, of every balancer that reads the store. A packet whose handling raised an unexpected error ended the process too.

--- a/jujuberun/events.py
+++ b/jujuberun/events.py
@@ -238,6 +238,9 @@
         "Expected for seconds after a target was removed.",
     ),
     Event("relay", "malformed", "A packet could not be read.", REPORT_FAULT),
+    Event(
+        "relay", "failed", "An unexpected error dropped a packet.", REPORT_FAULT
+    ),
     Event(
         "sidecar", "flows_created", "A flow started at this agent.", NO_ACTION
     ),
@@ -266,6 +269,12 @@
         "Check the target.",
     ),
     Event("sidecar", "malformed", "A packet could not be read.", REPORT_FAULT),
+    Event(
+        "sidecar",
+        "failed",
+        "An unexpected error dropped a packet.",
+        REPORT_FAULT,
+    ),
     Event("link", "called", "A TCP call to a peer was answered.", NO_ACTION),
     Event("link", "served", "A TCP call of a peer was served.", NO_ACTION),
     Event(
--- a/jujuberun/peers.py
+++ b/jujuberun/peers.py
@@ -13,7 +13,7 @@
 from jujuberun.addresses import format_address
 from jujuberun.errors import WireError
 from jujuberun.ids import Address
-from jujuberun.port import Port
+from jujuberun.port import Port, handle_each
 from jujuberun.wire import (
     Codec,
     Probe,
@@ -235,8 +235,13 @@
         self, batch: list[tuple[bytes, Address]], now: float
     ) -> None:
         now_ms = read_wall_clock()
-        for datagram, sender in batch:
-            self.accept(datagram, sender, now, now_ms)
+        self.refused["failed"] += handle_each(
+            batch,
+            now,
+            lambda datagram, sender, now: self.accept(
+                datagram, sender, now, now_ms
+            ),
+        )
 
     def check_silence(self, now: float) -> None:
         """Probes peers that have not answered and removes unused peers."""
--- a/jujuberun/port.py
+++ b/jujuberun/port.py
@@ -1,13 +1,17 @@
 """Datagram ports, through which all packets enter and leave a process."""
 
 import asyncio
+import logging
 import socket
-from collections.abc import Callable
+import traceback
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import anyio
 
+from jujuberun.addresses import format_address
 from jujuberun.ids import Address
+from jujuberun.logs import make_logger
 
 # Maximum number of packets per read; bounds the time for which one port blocks
 # the event loop.
@@ -22,6 +26,48 @@
 
 
 BatchHandler = Callable[[list[tuple[bytes, Address]], float], None]
+PacketHandler = Callable[[bytes, Address, float], None]
+
+_log = make_logger("port")
+
+
+def handle_each(
+    batch: Iterable[tuple[bytes, Address]], now: float, handle: PacketHandler
+) -> int:
+    """Calls handle(data, sender, now) for each packet.
+
+    An unexpected error of the handler is logged and ends only the handling of
+    its packet, so that no packet can end the process.
+
+    Args:
+        batch: packets with their senders.
+        now: seconds, monotonic.
+        handle: takes one packet.
+
+    Returns:
+        Number of packets whose handling failed.
+    """
+    failed = 0
+    remaining = iter(batch)
+    while True:
+        sender: Address | None = None
+        # One try block serves all packets. After a failure, the iterator
+        # continues with the packet after the failed one.
+        try:
+            for data, sender in remaining:
+                handle(data, sender, now)
+        except Exception as error:  # noqa: BLE001
+            failed += 1
+            _log.log_limited(
+                logging.ERROR,
+                type(error),
+                now,
+                "packet from %s dropped: %s",
+                "unknown" if sender is None else format_address(sender),
+                "".join(traceback.format_exception(error)).rstrip(),
+            )
+            continue
+        return failed
 
 
 class Port(Protocol):
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -22,7 +22,7 @@
 from jujuberun.members import Members, VmList
 from jujuberun.packetport import PacketPort
 from jujuberun.peers import Peers
-from jujuberun.port import Port
+from jujuberun.port import Port, handle_each
 from jujuberun.servicemap import ServiceMap
 from jujuberun.start_dispatcher import StartDispatcher
 from jujuberun.steering import Steering, TargetState
@@ -144,18 +144,7 @@
             batch: packets with their senders' addresses.
             now: seconds, monotonic.
         """
-        for data, sender in batch:
-            frame = self._port.parse(data)
-            if frame is None:
-                self.counts["malformed"] += 1
-            elif frame.bounced:
-                self._handle_bounced(frame, data, sender, now)
-            elif frame.starts:
-                self.last_packet_at = now
-                self._handle_start(frame, data, now)
-            else:
-                self.last_packet_at = now
-                self._handle_later_packet(frame, data, now)
+        self.counts["failed"] += handle_each(batch, now, self._forward_packet)
 
     def explain(
         self, service_id: str, caller: Address, now: float
@@ -182,6 +171,19 @@
             "counts": dict(self.counts),
         }
 
+    def _forward_packet(self, data: bytes, sender: Address, now: float) -> None:
+        frame = self._port.parse(data)
+        if frame is None:
+            self.counts["malformed"] += 1
+        elif frame.bounced:
+            self._handle_bounced(frame, data, sender, now)
+        elif frame.starts:
+            self.last_packet_at = now
+            self._handle_start(frame, data, now)
+        else:
+            self.last_packet_at = now
+            self._handle_later_packet(frame, data, now)
+
     def _explain(
         self, service: Service, caller: Address, now: float
     ) -> dict[str, Any]:
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -22,7 +22,7 @@
 from jujuberun.ids import Address, PoolId
 from jujuberun.logs import make_logger
 from jujuberun.peers import Peers
-from jujuberun.port import Port
+from jujuberun.port import Port, handle_each
 from jujuberun.wire import Accepted, Declined
 
 # A flow without packets for this time is removed.
@@ -183,26 +183,7 @@
             batch: packets with the addresses of the balancers.
             now: seconds, monotonic.
         """
-        for data, sender in batch:
-            frame = self._codec.read_request(data)
-            if frame is None:
-                self.counts["malformed"] += 1
-                continue
-            tag, slots, busy_limit = split_mark(frame.mark)
-            if tag != self._tag:
-                # This address belonged to a target of another pool before.
-                self._return_other_pool(frame, data, sender, now)
-                continue
-            if frame.starts:
-                self._slots = slots
-                if not self._admit(frame, sender, busy_limit, now):
-                    continue
-            else:
-                self._record_request(frame, now)
-            self._last_packet_at = now
-            balancer = int.from_bytes(inet_aton(sender[0]), "big")
-            marked = self._codec.set_mark(data, balancer)
-            self._outbound.send(marked, self._target)
+        self.counts["failed"] += handle_each(batch, now, self._deliver_packet)
 
     def send_back(self, batch: list[tuple[bytes, Address]], now: float) -> None:
         """Sends packets of the target to callers, or returns them to balancers.
@@ -211,18 +192,41 @@
             batch: packets of the target.
             now: seconds, monotonic.
         """
-        for data, _ in batch:
-            frame = self._codec.read_answer(data)
-            if frame is None:
-                self.counts["malformed"] += 1
-                continue
-            if frame.bounced:
-                self._return_packet(frame, data)
-                continue
-            self._record_answer(frame, now)
-            self._last_packet_at = now
-            host, _ = unpack_caller(frame.key)
-            self._port.send(data, (host, self._port.address[1]))
+        self.counts["failed"] += handle_each(batch, now, self._send_packet)
+
+    def _deliver_packet(self, data: bytes, sender: Address, now: float) -> None:
+        frame = self._codec.read_request(data)
+        if frame is None:
+            self.counts["malformed"] += 1
+            return
+        tag, slots, busy_limit = split_mark(frame.mark)
+        if tag != self._tag:
+            # This address belonged to a target of another pool before.
+            self._return_other_pool(frame, data, sender, now)
+            return
+        if frame.starts:
+            self._slots = slots
+            if not self._admit(frame, sender, busy_limit, now):
+                return
+        else:
+            self._record_request(frame, now)
+        self._last_packet_at = now
+        balancer = int.from_bytes(inet_aton(sender[0]), "big")
+        marked = self._codec.set_mark(data, balancer)
+        self._outbound.send(marked, self._target)
+
+    def _send_packet(self, data: bytes, sender: Address, now: float) -> None:
+        frame = self._codec.read_answer(data)
+        if frame is None:
+            self.counts["malformed"] += 1
+            return
+        if frame.bounced:
+            self._return_packet(frame, data)
+            return
+        self._record_answer(frame, now)
+        self._last_packet_at = now
+        host, _ = unpack_caller(frame.key)
+        self._port.send(data, (host, self._port.address[1]))
 
     def _is_quiet(self, now: float) -> bool:
         """Returns whether a stop would not interrupt an answer."""
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -178,6 +178,9 @@
             make_entry(WarmupLeftMs=-1),
             make_entry(WarmupLeftMs="soon"),
             make_entry(WarmupLeftMs=float("nan")),
+            make_entry(WarmupLeftMs=10**400),
+            make_entry(Slots=float("inf")),
+            make_entry(Zone={}),
             make_entry(Zone=None),
             make_entry(born="yesterday"),
             make_entry(born=1.5),
@@ -193,6 +196,42 @@
             vms = read_vms(run_virtual(run))
             self.assertEqual({"good"}, set(vms), f"{number}: {entry!r}")
 
+    def test_incomplete_answers_of_the_store_are_source_errors(self):
+        # Guards against a daemon that ends because a field of the store's
+        # answer is missing or has another type.
+        store = FakeStore()
+        store.put("servers/good", make_entry())
+        store.put("op/config", make_configuration(7))
+        damages = [
+            {"items": None, "events": None},
+            {"items": [7], "events": [7]},
+            {"items": [{}], "events": [{}]},
+            {"items": [{"Key": "k", "Value": "%", "Revision": 1}]},
+            {"CurrentRev": "9"},
+        ]
+        reply = store._reply
+
+        async def run():
+            source = store.make_source()
+            indexes = {}
+            for kind in DocumentKind:
+                indexes[kind] = (await source.fetch(kind, 0, 0)).index
+            for damage in damages:
+                store._reply = lambda document, status=200, damage=damage: (
+                    reply(document | damage, status)
+                )
+                for kind in DocumentKind:
+                    for index in (0, indexes[kind]):
+                        await self.read_damaged(source, kind, index)
+
+        run_virtual(run)
+
+    async def read_damaged(self, source, kind, index):
+        try:
+            await source.fetch(kind, index, 0.1)
+        except SourceError as error:
+            self.assertIn("store", str(error))
+
     def test_target_that_restarted_under_its_old_key_gets_a_new_id(self):
         store = FakeStore()
         store.put("servers/i-1", make_entry(born=1000))
@@ -278,6 +317,26 @@
 
         self.assertEqual({"i-2"}, set(read_vms(run_virtual(run))))
 
+    def test_numbers_out_of_range_are_refused(self):
+        # Guards against an OverflowError that ends every balancer that reads
+        # the store.
+        for changes in (
+            {"WeightedServices": [{"Service": "a", "Weight": float("inf")}]},
+            {"SloMs": 10**400},
+        ):
+            store = FakeStore()
+            route = make_route("r-2", port=8443, **changes)
+            if "WeightedServices" in changes:
+                del route["Service"]
+            store.put("op/config", make_configuration(7, make_route(), route))
+
+            async def run(store=store):
+                return await store.make_source().fetch(
+                    DocumentKind.MANIFEST, 0, 0
+                )
+
+            self.assertRaises(SourceError, run_virtual, run)
+
     def test_malformed_configuration_is_refused(self):
         for value in (
             b"{",
--- a/tests/test_port.py
+++ b/tests/test_port.py
@@ -3,7 +3,7 @@
 import anyio
 import testtools
 
-from jujuberun.port import BATCH_PACKETS, SocketPort
+from jujuberun.port import BATCH_PACKETS, SocketPort, handle_each
 
 
 class ServeTest(testtools.TestCase):
@@ -54,3 +54,19 @@
             raise ValueError("broken handler")
 
         self.assertRaises(ValueError, self.serve, 1, fail)
+
+    def test_one_packet_does_not_end_the_handling_of_others(self):
+        # Guards against a process that ends because of one packet.
+        handled = []
+
+        def handle(data, sender, now):
+            if data == b"bad":
+                raise RuntimeError("broken handler")
+            handled.append(data)
+
+        sender = ("192.0.2.1", 1)
+        batch = [(data, sender) for data in (b"a", b"bad", b"b", b"bad", b"c")]
+        with self.assertLogs("jujuberun.port", "ERROR") as log:
+            self.assertEqual(2, handle_each(batch, 1.0, handle))
+        self.assertEqual([b"a", b"b", b"c"], handled)
+        self.assertIn("broken handler", log.output[0])
