Fetch no history for packet services, and documents at most every 0.2 s

Cause: versions grow in uneven steps, so each configuration looked like a missed one, and each balancer fetched and parsed up to 16 replaced manifests, which flows of packet services never need. Eight watchers that read the store independently put up to 16 VM lists a second into gossip, and each balancer fetched every one of them.

--- a/jujuberun/generations.py
+++ b/jujuberun/generations.py
@@ -13,6 +13,7 @@
 from jujuberun.candidate_table import TableSet
 from jujuberun.delta import digest_document
 from jujuberun.errors import ManifestError
+from jujuberun.ids import Protocol
 from jujuberun.manifest import Manifest, parse_manifest
 
 # Manifests that were replaced longer ago are dropped from the history.
@@ -107,6 +108,18 @@
         """Digest of the text in force, empty before the first manifest."""
         return self._versions[-1].text_digest if self._versions else b""
 
+    @property
+    def needs_history(self) -> bool:
+        """Whether the owners of flows depend on earlier manifests.
+
+        Flows of packet services do not: their targets are asked instead.
+        """
+        return any(
+            service.protocol is not Protocol.PACKET
+            for version in self._versions[-1:]
+            for service in version.manifest.services.values()
+        )
+
     def find_text(self, digest: bytes) -> bytes | None:
         """Returns the text with this digest, None if no version has it."""
         for version in self._versions:
--- a/jujuberun/history_fetcher.py
+++ b/jujuberun/history_fetcher.py
@@ -5,6 +5,7 @@
 import anyio
 
 from jujuberun.errors import LinkError
+from jujuberun.generations import Generations
 from jujuberun.ids import Address
 from jujuberun.transfer import Transfer
 
@@ -24,13 +25,15 @@
     A process misses manifests while it is paused, partitioned or not running.
     """
 
-    def __init__(self, transfer: Transfer) -> None:
+    def __init__(self, transfer: Transfer, generations: Generations) -> None:
         """Creates an inactive fetcher.
 
         Args:
             transfer: fetches documents from peers.
+            generations: tells whether the manifest in force needs a history.
         """
         self._transfer = transfer
+        self._generations = generations
         self._started = anyio.Event()
         self._tries_left = 0
         self._start_count = 0
@@ -66,8 +69,10 @@
         while True:
             await self._started.wait()
             await self._peer_available.wait()
-            await self._fetch_from_peer()
-            if not self._tries_left:
+            is_needed = self._generations.needs_history
+            if is_needed:
+                await self._fetch_from_peer()
+            if not self._tries_left or not is_needed:
                 self.stop()
 
     async def _fetch_from_peer(self) -> None:
--- a/jujuberun/peers_ahead.py
+++ b/jujuberun/peers_ahead.py
@@ -8,6 +8,9 @@
 
 # A document that was refused is not fetched again within this time.
 REFUSED_RETRY_DELAY_S = 60.0
+# While documents change often, a process skips some of them: it fetches at most
+# one of a kind within this time.
+MIN_FETCH_INTERVAL_S = 0.2
 _MAX_PEERS = 16
 
 
--- a/jujuberun/roster.py
+++ b/jujuberun/roster.py
@@ -7,6 +7,7 @@
 import math
 import random
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 from typing import Any
 
 from jujuberun.addresses import format_address
@@ -183,6 +184,7 @@
         return sum(_hash_address(peer) < own for peer in self._list_live())
 
 
+@lru_cache(PRUNE_THRESHOLD)
 def _hash_address(address: Address) -> bytes:
     return hashlib.blake2b(pack_address(address), digest_size=8).digest()
 
--- a/jujuberun/spread.py
+++ b/jujuberun/spread.py
@@ -1,6 +1,7 @@
 """Gossip between peers that distributes the manifest and the VM list."""
 
 import logging
+import math
 import random
 import time
 from collections import Counter
@@ -18,7 +19,7 @@
 from jujuberun.ids import Address, VmId
 from jujuberun.link import Link
 from jujuberun.members import Members, VmList
-from jujuberun.peers_ahead import PeersAhead
+from jujuberun.peers_ahead import MIN_FETCH_INTERVAL_S, PeersAhead
 from jujuberun.roster import Roster
 from jujuberun.source import DocumentKind, Source
 from jujuberun.transfer import DocumentStore, Transfer
@@ -100,7 +101,7 @@
             DocumentKind.VMS: members,
         }
         self._transfer = Transfer(link, generations, self._stores, read_clock)
-        self._history_fetcher = HistoryFetcher(self._transfer)
+        self._history_fetcher = HistoryFetcher(self._transfer, generations)
         self._peers_ahead = {kind: PeersAhead() for kind in DocumentKind}
         self._watches: list[Watch] = []
         if source is not None:
@@ -120,7 +121,7 @@
         self._last_gossip = 0.0
         self._last_ask = 0.0
         self._asked_since: float | None = None
-        self._ask_token = 0
+        self._ask_token = -1  # no reply has it
         self._confirmed = anyio.Event()
         self._generation = 0
         generations.subscribe(self._handle_manifest)
@@ -161,8 +162,9 @@
         vms_order = self._compare_position(
             DocumentKind.VMS, status.vm_index, status.vm_digest, sender, now
         )
-        if status.replies is not None and status.replies == self._ask_token:
-            self._handle_reply(manifest_order)
+        # A fetch from a peer ahead confirms the generation.
+        if status.replies == self._ask_token and manifest_order < 1:
+            self._confirm()
         if (
             self._history_fetcher.is_active
             and manifest_order == 0
@@ -282,20 +284,14 @@
             store.report_conflict(digest, format_address(sender))
         return 0
 
-    def _handle_reply(self, manifest_order: int) -> None:
-        # If the peer is ahead, the fetch from it confirms the generation.
-        if manifest_order <= 0:
-            self._confirm()
-
     def _confirm(self) -> None:
         self._asked_since = None
         self._confirmed.set()
 
     def _handle_manifest(self, version: ManifestVersion) -> None:
-        generation = version.manifest.generation
-        if generation > self._generation + 1:
+        before, self._generation = self._generation, version.manifest.generation
+        if self._generation > before + 1:
             self._history_fetcher.start()
-        self._generation = generation
         self._push_status()
 
     def _handle_vm_list(self, vm_list: VmList) -> None:
@@ -357,10 +353,14 @@
     async def _fetch_from_peers_ahead(self, kind: DocumentKind) -> None:
         """Fetches one kind of document from peers ahead, one at a time."""
         peers_ahead = self._peers_ahead[kind]
+        next_fetch_at = -math.inf
         while True:
             await peers_ahead.available.wait()
+            if self._read_clock() < next_fetch_at:
+                await anyio.sleep(next_fetch_at - self._read_clock())
             peer = peers_ahead.choose(self._stores[kind].position, self._rng)
             if peer is not None:
+                next_fetch_at = self._read_clock() + MIN_FETCH_INTERVAL_S
                 await self._fetch(kind, peer)
 
     async def _fetch(self, kind: DocumentKind, peer: Address) -> None:
