Load fewer modules at the start of a daemon

The initialisation of thriftpy2's packages loads a parser, an HTTP client and transports with TLS; httpx is loaded only where documents are read by it.

--- a/jujuberun/codegen.py
+++ b/jujuberun/codegen.py
@@ -9,12 +9,13 @@
 from pathlib import Path
 from typing import Any
 
-import thriftpy2
-from thriftpy2.thrift import TType
+import thriftpy2.parser
+
+from jujuberun.thrift_packages import TType
 
 _HEADER = '''"""Messages of jujuberun.thrift; made by jujuberun.codegen."""
 
-from thriftpy2.thrift import TPayload, TType
+from jujuberun.thrift_packages import TPayload, TType
 
 '''
 _TYPE_NAMES = {
@@ -29,7 +30,9 @@
     Args:
         definitions: path of the Thrift file.
     """
-    module = thriftpy2.load(str(definitions), module_name="definitions_thrift")
+    module = thriftpy2.parser.load(
+        str(definitions), module_name="definitions_thrift"
+    )
     structs = [
         entry
         for entry in vars(module).values()
--- a/jujuberun/messages.py
+++ b/jujuberun/messages.py
@@ -1,6 +1,6 @@
 """Messages of jujuberun.thrift; made by jujuberun.codegen."""
 
-from thriftpy2.thrift import TPayload, TType
+from jujuberun.thrift_packages import TPayload, TType
 
 
 class Forward(TPayload):
--- a/jujuberun/source.py
+++ b/jujuberun/source.py
@@ -1,21 +1,17 @@
 """Sources of the manifest and the VM list that the platform publishes."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
 import anyio
-import httpx
 
 from jujuberun.delta import MAX_DOCUMENT_BYTES
 from jujuberun.errors import SourceError
 from jujuberun.ids import VmId
 from jujuberun.settings import PlatformSettings
 
-ANSWER_TIMEOUT_S = 5.0  # in addition to the wait that a watch asks for
-CONNECT_TIMEOUT_S = 2.0
 FILE_POLL_S = 0.5
 BACKOFF_BASE_S = 0.5
 BACKOFF_LIMIT_S = 10.0
@@ -84,6 +80,10 @@
         vm: id of this VM, which is sent in the User-Agent header.
     """
     if platform.url:
+        # Imported only here, because loading httpx takes a tenth of the start
+        # of a daemon that reads its documents in another way.
+        from jujuberun.http_source import HttpSource
+
         return HttpSource.from_config(platform.url, vm)
     return FileSource(
         {
@@ -157,102 +157,10 @@
             await anyio.sleep(min(remaining, FILE_POLL_S))
         async with await path.open("rb") as file:
             data = await file.read(MAX_DOCUMENT_BYTES + 1)
-        _check_size(data, kind, str(path))
+        check_size(data, kind, str(path))
         return PlatformDocument(kind, current_index, data)
 
 
-class HttpSource:
-    """Reads the platform's configuration service by HTTP long polling."""
-
-    is_local = False
-
-    def __init__(self, client: httpx.AsyncClient) -> None:
-        """Creates the source.
-
-        Args:
-            client: HTTP client whose base URL is the URL of the service.
-        """
-        self._client = client
-
-    @classmethod
-    def from_config(
-        cls,
-        url: str,
-        vm: VmId,
-        make_transport: Callable[[], httpx.AsyncBaseTransport] | None = None,
-    ) -> "HttpSource":
-        """Builds a source with an HTTP client of its own.
-
-        Args:
-            url: base URL of the service.
-            vm: id of this VM, which is sent in the User-Agent header.
-            make_transport: makes the transport of the client, so that tests
-                can replace the network.
-        """
-        client = httpx.AsyncClient(
-            base_url=url,
-            headers={"User-Agent": f"jujuberun/{vm}"},
-            transport=make_transport() if make_transport else None,
-            trust_env=False,
-            # Loading the certificates takes tens of ms and tens of MB, so
-            # they are loaded only for https.
-            verify=url.startswith("https:"),
-        )
-        return cls(client)
-
-    async def fetch(
-        self, kind: DocumentKind, index: int, wait: float
-    ) -> PlatformDocument | None:
-        """Reads a document or waits for a new one; see Source."""
-        step = f"read {kind.value}"
-        peer = str(self._client.base_url)
-        limit = wait + ANSWER_TIMEOUT_S
-        timeout = httpx.Timeout(limit, connect=CONNECT_TIMEOUT_S)
-        query = {"index": str(index), "wait": f"{wait:g}"}
-        try:
-            with anyio.fail_after(limit):
-                async with self._client.stream(
-                    "GET", f"/{kind.value}", params=query, timeout=timeout
-                ) as response:
-                    return await _read_response(response, kind, peer)
-        except (TimeoutError, httpx.TimeoutException):
-            text = f"no complete answer within {limit:g} s"
-            raise SourceError(step, peer, text) from None
-        except (httpx.HTTPError, httpx.InvalidURL) as error:
-            text = str(error) or type(error).__name__
-            raise SourceError(step, peer, text) from error
-
-    async def aclose(self) -> None:
-        """Closes the connections to the service."""
-        await self._client.aclose()
-
-
-async def _read_response(
-    response: httpx.Response, kind: DocumentKind, peer: str
-) -> PlatformDocument | None:
-    if response.status_code == httpx.codes.NOT_MODIFIED:
-        return None
-    step = f"read {kind.value}"
-    if response.status_code != httpx.codes.OK:
-        raise SourceError(
-            step,
-            peer,
-            f"status {response.status_code}; expected 200 or 304",
-        )
-    text = response.headers.get("x-index", "")
-    if not text.isascii() or not text.isdigit() or len(text) > 18:
-        raise SourceError(
-            step,
-            peer,
-            f"header X-Index is {text[:30]!r}; expected 1 to 18 digits",
-        )
-    data = bytearray()
-    async for part in response.aiter_bytes():
-        data += part
-        _check_size(data, kind, peer)
-    return PlatformDocument(kind, int(text), bytes(data))
-
-
 async def _read_index(path: anyio.Path) -> int:
     file_status = await path.stat()
     stamp = (
@@ -263,7 +171,8 @@
     return hash(stamp) & (1 << 62) - 1 or 1
 
 
-def _check_size(data: bytes | bytearray, kind: DocumentKind, peer: str) -> None:
+def check_size(data: bytes | bytearray, kind: DocumentKind, peer: str) -> None:
+    """Raises SourceError if a document has more bytes than allowed."""
     if len(data) > MAX_DOCUMENT_BYTES:
         text = f"the document has more than {MAX_DOCUMENT_BYTES} bytes"
         raise SourceError(f"read {kind.value}", peer, text)
--- a/jujuberun/standin_peers.py
+++ b/jujuberun/standin_peers.py
@@ -13,11 +13,11 @@
 from jujuberun.addresses import format_address
 from jujuberun.errors import LinkError
 from jujuberun.generations import Generations
+from jujuberun.http_source import HttpSource
 from jujuberun.ids import Address, VmId
 from jujuberun.link import Link
 from jujuberun.members import Members
 from jujuberun.port import SocketPort
-from jujuberun.source import HttpSource
 from jujuberun.spread import TICK_S, Spread
 from jujuberun.standin_platform import Platform
 from jujuberun.wire import Codec, Signer, find_body, read_wall_clock
--- a/jujuberun/standin_platform.py
+++ b/jujuberun/standin_platform.py
@@ -21,9 +21,10 @@
 
 from jujuberun.addresses import format_address, parse_address
 from jujuberun.errors import SourceError
+from jujuberun.http_source import ANSWER_TIMEOUT_S
 from jujuberun.ids import Address, VmId
 from jujuberun.link import cancel_on_close
-from jujuberun.source import ANSWER_TIMEOUT_S, DocumentKind, PlatformDocument
+from jujuberun.source import DocumentKind, PlatformDocument
 
 MAX_WAIT_S = 60.0
 FILE_POLL_S = 0.5
--- a/jujuberun/wire.py
+++ b/jujuberun/wire.py
@@ -11,15 +11,17 @@
 from typing import Any
 
 from result import Err, Ok, Result
-from thriftpy2.protocol.cybin import TCyBinaryProtocol
-from thriftpy2.thrift import TException
-from thriftpy2.transport.memory import TCyMemoryBuffer
 
 from jujuberun import messages
 from jujuberun.errors import WireError
 from jujuberun.ids import Address, FlowId
 from jujuberun.replay_window import ReplayWindow
 from jujuberun.size_check import check_sizes
+from jujuberun.thrift_packages import (
+    TCyBinaryProtocol,
+    TCyMemoryBuffer,
+    TException,
+)
 
 MAC_BYTES = 16
 MAX_DATAGRAM_BYTES = 65_000
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -6,15 +6,16 @@
 from testtools import TestCase
 from testtools.matchers import GreaterThan, LessThan
 
+from jujuberun import http_source
 from jujuberun import source as source_module
 from jujuberun.errors import SourceError
+from jujuberun.http_source import HttpSource
 from jujuberun.ids import VmId
 from jujuberun.settings import PlatformSettings
 from jujuberun.source import (
     BACKOFF_LIMIT_S,
     DocumentKind,
     FileSource,
-    HttpSource,
     choose_backoff,
     make_source,
 )
@@ -67,7 +68,7 @@
         # Guards against a slow, failing or misbehaving platform that blocks
         # the reader or fills its memory, and against errors that do not name
         # the cause.
-        self.patch(source_module, "ANSWER_TIMEOUT_S", 0.2)
+        self.patch(http_source, "ANSWER_TIMEOUT_S", 0.2)
         cases = {
             Mode.HANGING: "no complete answer within 0.2 s",
             Mode.SLOW: "no complete answer within 0.2 s",
@@ -96,7 +97,7 @@
         self.run_platform(test)
 
     def test_platform_answers_only_some_readers(self):
-        self.patch(source_module, "ANSWER_TIMEOUT_S", 0.2)
+        self.patch(http_source, "ANSWER_TIMEOUT_S", 0.2)
 
         async def test(platform, source):
             platform.accepts = lambda reader: reader.endswith("vm-2")
