Reset flows that no target holds after a second search

Cause: after a loss of power, callers repeat packets of flows that ended with their targets. Every target returns them, and the balancer, which did not see the start, dropped each one; the caller waited until its time limit.

The decision is lost_flows.decide_lost_flow; the search moves from relay.py to owner_search.py. Tests: test_owner_search; the first two fail on the code before, the others guard live flows.

--- /dev/null
+++ b/jujuberun/owner_search.py
@@ -0,0 +1,234 @@
+"""Search for the targets that hold flows which began at other balancers."""
+
+import math
+from collections import Counter, deque
+
+import anyio
+
+from jujuberun.addresses import format_address
+from jujuberun.decisions import DecisionLog
+from jujuberun.flowtable import FlowEntry, FlowTable
+from jujuberun.frames import Frame, unpack_caller, unpack_service
+from jujuberun.ids import PoolId, TargetId
+from jujuberun.lost_flows import (
+    RECHECK_DELAY_S,
+    LostFlowAction,
+    TargetListState,
+    decide_lost_flow,
+)
+from jujuberun.members import Members
+from jujuberun.packetport import PacketPort
+from jujuberun.servicemap import ServiceMap
+from jujuberun.steering import Steering, TargetState
+
+# Number of targets that receive a packet at once while the owner of its flow is
+# unknown. Asking 35 targets one after the other took over 2 s with busy
+# balancers, and packets of callers did not reach their target in time.
+SEARCH_BATCH_TARGETS = 6
+
+
+class OwnerSearch:
+    """Forwards packets after the start of a flow to the target that holds it.
+
+    A packet of a flow whose owner is not known goes to the targets that may
+    hold the flow, a few at a time. A target that does not hold it returns it.
+    """
+
+    def __init__(
+        self,
+        port: PacketPort,
+        flows: FlowTable,
+        steering: Steering,
+        services: ServiceMap,
+        members: Members,
+        counts: Counter[str],
+        log: DecisionLog,
+    ) -> None:
+        """Builds the search of one balancer.
+
+        Args:
+            port: sends packets to agents and callers.
+            flows: flows that are cached at the balancer.
+            steering: knows the targets.
+            services: services by address.
+            members: provides the index of the list of VMs that is logged.
+            counts: event counters of the balancer.
+            log: log for decisions of the balancer.
+        """
+        self._port = port
+        self._flows = flows
+        self._steering = steering
+        self._services = services
+        self._members = members
+        self._counts = counts
+        self._log = log
+        self._rechecks: deque[tuple[float, FlowEntry, Frame, bytes]] = deque()
+        self._rechecks_added = anyio.Event()
+
+    def forward(self, frame: Frame, data: bytes, now: float) -> None:
+        """Forwards a packet after the start of a flow."""
+        entry = self._flows.find(frame.key, now)
+        if entry is None:
+            entry = self._adopt(frame, now)
+            if entry is None:
+                return
+        entry.expire_bounces(now)
+        owner = self._find_owner(entry, frame)
+        if owner is not None:
+            self._port.send_packet(data, owner)
+            return
+        searched = entry.list_search_targets()
+        for target in searched:
+            self._send_to(target, data)
+        # A repeated packet was lost or has not reached the target that holds
+        # its flow, so more targets are tried.
+        if entry.record_and_check_repeat(frame) or not searched:
+            self._extend_search(entry, frame, data, now)
+
+    def _adopt(self, frame: Frame, now: float) -> FlowEntry | None:
+        """Creates an entry for a flow that was opened at another balancer."""
+        address = unpack_service(frame.key)
+        service = self._services.find(address)
+        if service is None:
+            # The service was removed, or this process does not know it yet.
+            self._counts["dropped_no_service"] += 1
+            return None
+        entry = FlowEntry(
+            frame.key, service.id, service.pools, now, now, None, -1
+        )
+        self._flows.add(entry)
+        self._counts["flows_adopted"] += 1
+        self._log.write(
+            "flow adopted: it began at another balancer",
+            now,
+            flow=format_address(unpack_caller(frame.key)),
+            service=service.id,
+        )
+        return entry
+
+    def _find_owner(self, entry: FlowEntry, frame: Frame) -> TargetState | None:
+        """Returns the target that is known to hold a flow, or None."""
+        owner = entry.find_owner(frame)
+        return None if owner is None else self._steering.find(owner)
+
+    def _send_to(self, target: TargetId, data: bytes) -> None:
+        candidate = self._steering.find(target)
+        if candidate is not None:
+            self._port.send_packet(data, candidate)
+
+    def _extend_search(
+        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
+    ) -> None:
+        """Sends a packet to the next targets that may hold its flow.
+
+        Copies are harmless: a target that does not hold the flow bounces the
+        packet.
+        """
+        pools = self._list_pools(entry)
+        excluded = entry.bounced_by.union(entry.searched)
+        sent = 0
+        for candidate in self._steering.list_possible_owners(
+            pools, entry.key, now
+        ):
+            if candidate.id in excluded:
+                continue
+            entry.searched.append(candidate.id)
+            self._port.send_packet(data, candidate)
+            sent += 1
+            if sent == SEARCH_BATCH_TARGETS:
+                return
+        if not sent and not entry.list_search_targets():
+            self._handle_lost_flow(entry, frame, data, now)
+
+    def _handle_lost_flow(
+        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
+    ) -> None:
+        """Handles a packet that all targets returned."""
+        if frame.resets:
+            return
+        if entry.is_accepted:
+            self._reset(entry, frame, "its target does not hold it", now)
+            return
+        if not frame.size:
+            # The packet may follow the regular end of the flow.
+            self._counts["dropped_no_owner"] += 1
+            return
+        pools = self._list_pools(entry)
+        targets = TargetListState(
+            self._steering.listed_at,
+            self._steering.are_all_in_slow_start(pools, now),
+        )
+        match decide_lost_flow(entry.first_search_at, targets, now):
+            case LostFlowAction.RECHECK:
+                entry.first_search_at = now
+                due = now + RECHECK_DELAY_S
+                self._rechecks.append((due, entry, frame, data))
+                self._rechecks_added.set()
+            case LostFlowAction.RESET:
+                self._reset(entry, frame, "no target holds it", now)
+            case LostFlowAction.WAIT:
+                # Its target may not be known here, so a reset could break a
+                # live flow.
+                self._counts["dropped_no_owner"] += 1
+                self._log.write(
+                    "packet dropped: no target holds its flow",
+                    now,
+                    flow=format_address(unpack_caller(entry.key)),
+                    service=entry.service,
+                    refused=sorted(entry.bounced_by),
+                    targets=self._members.position,
+                    outcome="none",
+                )
+
+    def _reset(
+        self, entry: FlowEntry, frame: Frame, reason: str, now: float
+    ) -> None:
+        """Resets a flow; whether its request has run is not known."""
+        self._counts["reset_lost_flow"] += 1
+        self._log.write(
+            f"flow reset: {reason} any more",
+            now,
+            flow=format_address(unpack_caller(entry.key)),
+            service=entry.service,
+            target=entry.offers[-1].target if entry.offers else None,
+            refused=sorted(entry.bounced_by),
+            targets=self._members.position,
+            outcome="reset, unknown",
+        )
+        self._port.send_reset(frame)
+
+    def _list_pools(self, entry: FlowEntry) -> tuple[PoolId, ...]:
+        """Returns the current and the former pools of a flow's service."""
+        former = self._services.list_former_pools(unpack_service(entry.key))
+        return tuple(dict.fromkeys((*entry.pool_ids, *former)))
+
+    def redirect_bounced(
+        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
+    ) -> None:
+        """Sends a bounced packet other than a start to other targets."""
+        owner = self._find_owner(entry, frame)
+        if owner is not None:
+            self._port.send_packet(data, owner)
+            return
+        if not entry.list_search_targets():
+            # If other searched targets remain, they already have a copy.
+            self._extend_search(entry, frame, data, now)
+
+    async def run_timers(self) -> None:
+        """Repeats searches when they are due, until cancelled."""
+        while True:
+            self._rechecks_added = anyio.Event()
+            wakeup_at = self._rechecks[0][0] if self._rechecks else math.inf
+            with anyio.CancelScope(deadline=wakeup_at):
+                await self._rechecks_added.wait()
+            self.check_timers(anyio.current_time())
+
+    def check_timers(self, now: float) -> None:
+        """Asks all targets again for the flows whose second search is due."""
+        while self._rechecks and self._rechecks[0][0] <= now:
+            _, entry, frame, data = self._rechecks.popleft()
+            if self._find_owner(entry, frame) or entry.list_search_targets():
+                continue
+            entry.bounced_by.clear()
+            entry.searched.clear()
+            self._extend_search(entry, frame, data, now)
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -17,15 +17,16 @@
     unpack_service,
 )
 from jujuberun.generations import Generations, ManifestVersion
-from jujuberun.ids import Address, DomainId, TargetId
+from jujuberun.ids import Address, DomainId
 from jujuberun.manifest import Service
 from jujuberun.members import Members, VmList
+from jujuberun.owner_search import OwnerSearch
 from jujuberun.packetport import PacketPort
 from jujuberun.peers import Peers
 from jujuberun.port import Port, handle_each
 from jujuberun.servicemap import ServiceMap
 from jujuberun.start_dispatcher import StartDispatcher
-from jujuberun.steering import Steering, TargetState
+from jujuberun.steering import Steering
 from jujuberun.wire import pack_address
 
 # A flow without packets for this time is removed from the cache.
@@ -33,10 +34,6 @@
 MAINTENANCE_INTERVAL_S = 1.0
 DEFAULT_OBJECTIVE_S = 0.5  # for services without an objective
 DRAIN_POLL_INTERVAL_S = 0.05
-# Number of targets that receive a packet at once while the owner of its flow is
-# unknown. Asking 35 targets one after the other took over 2 s with busy
-# balancers, and packets of callers did not reach their target in time.
-SEARCH_BATCH_TARGETS = 6
 # The network takes a balancer out of rotation after two failed readiness
 # checks, half a second apart. Until then, packets may arrive after a gap.
 ROTATION_EXIT_S = 1.2
@@ -94,6 +91,15 @@
             self.counts,
             self._log,
         )
+        self._search = OwnerSearch(
+            self._port,
+            self._flows,
+            self._steering,
+            self._services,
+            members,
+            self.counts,
+            self._log,
+        )
         peers.subscribe_pauses(lambda now: self._steering.clear_suspicions())
 
     @property
@@ -116,6 +122,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._maintain)
             group.start_soon(self._dispatcher.run_timers)
+            group.start_soon(self._search.run_timers)
             task_status.started()
             await self._port.serve(self.forward)
 
@@ -182,7 +189,7 @@
             self._handle_start(frame, data, now)
         else:
             self.last_packet_at = now
-            self._handle_later_packet(frame, data, now)
+            self._search.forward(frame, data, now)
 
     def _explain(
         self, service: Service, caller: Address, now: float
@@ -199,8 +206,9 @@
         }
 
     def check_offers(self, now: float) -> None:
-        """Offers unconfirmed and held starts again that are due."""
+        """Repeats offers of starts and searches of owners that are due."""
         self._dispatcher.check_timers(now)
+        self._search.check_timers(now)
 
     def apply_vm_list(self, vm_list: VmList, now: float) -> None:
         """Applies a new list of registered targets."""
@@ -246,116 +254,6 @@
         )
         self._port.send_reset(frame)
 
-    def _handle_later_packet(
-        self, frame: Frame, data: bytes, now: float
-    ) -> None:
-        """Forwards a packet after the start of a flow."""
-        entry = self._flows.find(frame.key, now)
-        if entry is None:
-            entry = self._adopt(frame, now)
-            if entry is None:
-                return
-        entry.expire_bounces(now)
-        owner = self._find_owner(entry, frame)
-        if owner is not None:
-            self._port.send_packet(data, owner)
-            return
-        searched = entry.list_search_targets()
-        for target in searched:
-            self._send_to(target, data)
-        # A repeated packet was lost or has not reached the target that holds
-        # its flow, so more targets are tried.
-        if entry.record_and_check_repeat(frame) or not searched:
-            self._extend_search(entry, frame, data, now)
-
-    def _adopt(self, frame: Frame, now: float) -> FlowEntry | None:
-        """Creates an entry for a flow that was opened at another balancer."""
-        address = unpack_service(frame.key)
-        service = self._services.find(address)
-        if service is None:
-            # The service was removed, or this process does not know it yet.
-            self.counts["dropped_no_service"] += 1
-            return None
-        entry = FlowEntry(
-            frame.key, service.id, service.pools, now, now, None, -1
-        )
-        self._flows.add(entry)
-        self.counts["flows_adopted"] += 1
-        self._log.write(
-            "flow adopted: it began at another balancer",
-            now,
-            flow=format_address(unpack_caller(frame.key)),
-            service=service.id,
-        )
-        return entry
-
-    def _find_owner(self, entry: FlowEntry, frame: Frame) -> TargetState | None:
-        """Returns the target that is known to hold a flow, or None."""
-        owner = entry.find_owner(frame)
-        return None if owner is None else self._steering.find(owner)
-
-    def _send_to(self, target: TargetId, data: bytes) -> None:
-        candidate = self._steering.find(target)
-        if candidate is not None:
-            self._port.send_packet(data, candidate)
-
-    def _extend_search(
-        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
-    ) -> None:
-        """Sends a packet to the next targets that may hold its flow.
-
-        Copies are harmless: a target that does not hold the flow bounces the
-        packet.
-        """
-        former = self._services.list_former_pools(unpack_service(entry.key))
-        pools = dict.fromkeys((*entry.pool_ids, *former))
-        excluded = entry.bounced_by.union(entry.searched)
-        sent = 0
-        for candidate in self._steering.list_possible_owners(
-            pools, entry.key, now
-        ):
-            if candidate.id in excluded:
-                continue
-            entry.searched.append(candidate.id)
-            self._port.send_packet(data, candidate)
-            sent += 1
-            if sent == SEARCH_BATCH_TARGETS:
-                return
-        if not sent and not entry.list_search_targets():
-            self._report_lost_flow(entry, frame, now)
-
-    def _report_lost_flow(
-        self, entry: FlowEntry, frame: Frame, now: float
-    ) -> None:
-        """Logs a flow that no target holds; resets it if it was opened here."""
-        caller = format_address(unpack_caller(entry.key))
-        if not entry.is_accepted:
-            # The flow was opened at another balancer. Its target may not be
-            # known here, so a reset could break a live flow.
-            self.counts["dropped_no_owner"] += 1
-            self._log.write(
-                "packet dropped: no target holds its flow",
-                now,
-                flow=caller,
-                service=entry.service,
-                refused=sorted(entry.bounced_by),
-                targets=self._members.position,
-                outcome="none",
-            )
-            return
-        if frame.resets:
-            return
-        self.counts["reset_lost_flow"] += 1
-        self._log.write(
-            "flow reset: its target does not hold it any more",
-            now,
-            flow=caller,
-            service=entry.service,
-            target=entry.offers[-1].target,
-            outcome="reset, unknown",
-        )
-        self._port.send_reset(frame)
-
     def _handle_bounced(
         self, frame: Frame, data: bytes, sender: Address, now: float
     ) -> None:
@@ -369,7 +267,7 @@
             entry.record_bounce(candidate.id, now)
         if not frame.starts:
             self.counts["bounced"] += 1
-            self._redirect_bounced(entry, frame, data, now)
+            self._search.redirect_bounced(entry, frame, data, now)
             return
         self.counts["starts_bounced"] += 1
         if entry.is_accepted or entry.start_packet is None:
@@ -380,18 +278,6 @@
         if not entry.offers:
             self._dispatcher.offer(entry, now)
 
-    def _redirect_bounced(
-        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
-    ) -> None:
-        """Sends a bounced packet other than a start to other targets."""
-        owner = self._find_owner(entry, frame)
-        if owner is not None:
-            self._port.send_packet(data, owner)
-            return
-        if not entry.list_search_targets():
-            # If other searched targets remain, they already have a copy.
-            self._extend_search(entry, frame, data, now)
-
     async def _maintain(self) -> None:
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -96,7 +96,12 @@
 
 
 class Steering:
-    """Tracks the targets of all pools and selects one for each new flow."""
+    """Tracks the targets of all pools and selects one for each new flow.
+
+    Attributes:
+        listed_at: time of the first list of targets, seconds, monotonic;
+            infinite before.
+    """
 
     def __init__(self, domain: DomainId) -> None:
         """Starts without targets.
@@ -104,6 +109,7 @@
         Args:
             domain: failure domain of this balancer.
         """
+        self.listed_at = math.inf
         self._domain = domain
         self._candidates: dict[TargetId, TargetState] = {}
         self._pools: dict[PoolId, list[TargetState]] = {}
@@ -116,6 +122,7 @@
             vm_list: the list in force.
             now: seconds, monotonic.
         """
+        self.listed_at = min(now, self.listed_at)
         for vm in vm_list.vms.values():
             if vm.target is not None:
                 self._add_or_update(vm, now)
@@ -213,6 +220,16 @@
         )
         return found
 
+    def are_all_in_slow_start(
+        self, pools: Collection[PoolId], now: float
+    ) -> bool:
+        """Returns whether all targets of the pools started a moment ago.
+
+        Returns False if the pools have no targets.
+        """
+        found = [c for pool in pools for c in self._pools.get(pool, ())]
+        return bool(found) and all(c.warmup_until > now for c in found)
+
     def record_offer(self, candidate: TargetState) -> None:
         """Counts an offer to a target."""
         candidate.unreported_offers += 1
--- a/tests/packetpath.py
+++ b/tests/packetpath.py
@@ -73,8 +73,10 @@
     )
 
 
-def make_vm(host, name=None, pool=POOL, state=VmState.LIVE, slots=2):
-    registration = Registration(pool, (host, TARGET_PORT), slots, 0.0)
+def make_vm(
+    host, name=None, pool=POOL, state=VmState.LIVE, slots=2, warmup=0.0
+):
+    registration = Registration(pool, (host, TARGET_PORT), slots, warmup)
     return Vm(
         VmId(name or f"t-{host}"),
         Role.AGENT,
--- /dev/null
+++ b/tests/test_owner_search.py
@@ -0,0 +1,86 @@
+"""Tests of flows whose packets no listed target holds."""
+
+import testtools
+from packetpath import Caller, Fleet, make_vm
+
+from jujuberun.lost_flows import LIST_SETTLE_S, RECHECK_DELAY_S
+
+
+class LostFlowTest(testtools.TestCase):
+    def open_flow(self, fleet):
+        caller = Caller(fleet.net, 1)
+        caller.start(fleet.balancers[0])
+        fleet.net.run()
+        caller.send_request(fleet.balancers[0])
+        fleet.net.run()
+        self.assertEqual(1, caller.answers)
+        return caller
+
+    def lose_power(self, fleet, warmup):
+        """Restarts all targets and balancers; targets forget their flows."""
+        for target in fleet.targets:
+            target.flows.clear()
+        fleet.vms = [
+            make_vm(t.host, name=f"new-{t.host}", warmup=warmup)
+            for t in fleet.targets
+        ]
+        for index in range(len(fleet.balancers)):
+            fleet.restart_balancer(index)
+
+    def search(self, fleet, caller, repeats=1):
+        """Sends a request and advances past the second search."""
+        for _ in range(repeats):
+            caller.send_request(fleet.balancers[0])
+            fleet.net.run(RECHECK_DELAY_S + 0.01)
+            fleet.check_offers()
+
+    def test_flows_from_before_a_power_loss_are_reset_at_once(self):
+        # Guards against callers that repeat packets of a flow until their time
+        # limit: after a loss of power, 250 of 1,100 requests failed that way.
+        fleet = Fleet(targets=12)
+        caller = self.open_flow(fleet)
+        self.lose_power(fleet, warmup=2.0)
+        self.search(fleet, caller)
+        self.assertEqual(1, caller.resets)
+
+    def test_flow_of_a_lost_target_is_reset_by_a_balancer_that_restarted(self):
+        fleet = Fleet(targets=12)
+        caller = self.open_flow(fleet)
+        self.lose_power(fleet, warmup=0.0)
+        fleet.net.run(LIST_SETTLE_S)
+        self.search(fleet, caller)
+        self.assertEqual(1, caller.resets)
+
+    def test_flow_is_kept_while_its_target_may_be_missing_in_the_list(self):
+        # Guards against resets of live flows: registrations that expired are
+        # back within two seconds after the platform's return.
+        fleet = Fleet(targets=12)
+        caller = self.open_flow(fleet)
+        owner = fleet.find_owner(caller)
+        all_vms = fleet.vms
+        fleet.vms = [vm for vm in all_vms if vm.peer[0] != owner.host]
+        for index in range(len(fleet.balancers)):
+            fleet.restart_balancer(index)
+        self.search(fleet, caller, repeats=3)
+        self.assertEqual(0, caller.resets)
+        fleet.vms = all_vms
+        fleet.distribute_config()
+        self.search(fleet, caller)
+        self.assertEqual((2, 0), (caller.answers, caller.resets))
+
+    def test_target_listed_between_two_searches_keeps_its_flow(self):
+        # Guards against a reset while this balancer's list lags behind.
+        fleet = Fleet(targets=12)
+        caller = self.open_flow(fleet)
+        owner = fleet.find_owner(caller)
+        all_vms = fleet.vms
+        fleet.vms = [vm for vm in all_vms if vm.peer[0] != owner.host]
+        fleet.restart_balancer(0)
+        fleet.net.run(LIST_SETTLE_S)
+        caller.send_request(fleet.balancers[0])
+        fleet.net.run(RECHECK_DELAY_S / 2)
+        fleet.vms = all_vms
+        fleet.distribute_config()
+        fleet.net.run(RECHECK_DELAY_S)
+        fleet.check_offers()
+        self.assertEqual((2, 0), (caller.answers, caller.resets))
