Decide about lost flows without waiting for the caller's next packet

The balancer now repeats the decision every 0.3 s until the list is settled or all listed targets have just started, then searches once more; targets that left the list no longer count for the slow start.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -54,7 +54,8 @@
         bounced_at: time of the last bounce, seconds, monotonic.
         searched: targets that packets were sent to in search of the owner.
         first_search_at: time at which all targets had returned a packet in a
-            first search for the owner, None if there was none recently.
+            first search for the owner, None if there was none.
+        is_recheck_due: whether the search will be repeated.
         last_sequences: sequence and acknowledged number of the caller's last
             packet.
         was_reset: whether the caller was sent a reset for the start.
@@ -79,6 +80,7 @@
     bounced_at: float = 0.0
     searched: list[TargetId] = field(default_factory=list)
     first_search_at: float | None = None
+    is_recheck_due: bool = False
     last_sequences: tuple[int, int] = (-1, -1)
     was_reset: bool = False
     objective: float = 0.0
@@ -149,7 +151,6 @@
         if self.bounced_by and now - self.bounced_at > BOUNCE_RETENTION_S:
             self.bounced_by.clear()
             self.searched.clear()
-            self.first_search_at = None
 
 
 class FlowTable:
--- a/jujuberun/lost_flows.py
+++ b/jujuberun/lost_flows.py
@@ -6,23 +6,26 @@
 # A target that registered a moment ago may hold the flow and not be listed yet,
 # so that all targets are asked once more after this time.
 RECHECK_DELAY_S = 0.3
+# A first search that ended longer ago than this says nothing about the flow.
+SEARCH_VALIDITY_S = 5.0
 # A registration that expired while the platform was down is back within about
 # two seconds. A process that has started more recently may lack it.
 LIST_SETTLE_S = 2.5
 
 
 class LostFlowAction(Enum):
-    """What to do with a flow after all listed targets returned its packet.
+    """What to do after all listed targets returned a packet of a flow.
 
     Attributes:
-        RECHECK: ask all targets again after RECHECK_DELAY_S.
+        WAIT: the owner may be missing in the list; decide again after
+            RECHECK_DELAY_S.
+        SEARCH: ask all targets again after RECHECK_DELAY_S.
         RESET: no target holds the flow; tell the caller.
-        WAIT: the owner may be missing in the list; drop the packet.
     """
 
-    RECHECK = "recheck"
-    RESET = "reset"
     WAIT = "wait"
+    SEARCH = "search"
+    RESET = "reset"
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +35,9 @@
     Attributes:
         received_at: time of the first list since the process started, seconds,
             monotonic.
-        all_in_slow_start: whether every target that may hold the flow has just
-            started, as after a power loss of all VMs. None of them can hold a
-            flow from before.
+        all_in_slow_start: whether every listed target has just started, as
+            after a power loss of all VMs. None of them can hold a flow from
+            before.
     """
 
     received_at: float
@@ -52,15 +55,16 @@
 
     Args:
         first_search_at: end of the first complete search for this flow, None
-            if this one is the first.
+            if there was none before.
         targets: state of the list of targets.
         now: seconds, monotonic.
     """
-    if first_search_at is None:
-        return LostFlowAction.RECHECK
-    if now - first_search_at < RECHECK_DELAY_S:
-        return LostFlowAction.WAIT
     is_settled = now - targets.received_at >= LIST_SETTLE_S
-    if is_settled or targets.all_in_slow_start:
+    if not is_settled and not targets.all_in_slow_start:
+        return LostFlowAction.WAIT
+    if first_search_at is None:
+        return LostFlowAction.SEARCH
+    age = now - first_search_at
+    if RECHECK_DELAY_S <= age <= SEARCH_VALIDITY_S:
         return LostFlowAction.RESET
-    return LostFlowAction.WAIT
+    return LostFlowAction.SEARCH
--- a/jujuberun/owner_search.py
+++ b/jujuberun/owner_search.py
@@ -12,6 +12,7 @@
 from jujuberun.ids import PoolId, TargetId
 from jujuberun.lost_flows import (
     RECHECK_DELAY_S,
+    SEARCH_VALIDITY_S,
     LostFlowAction,
     TargetListState,
     decide_lost_flow,
@@ -153,32 +154,42 @@
             # The packet may follow the regular end of the flow.
             self._counts["dropped_no_owner"] += 1
             return
-        pools = self._list_pools(entry)
+        if self._decide(entry, now) is LostFlowAction.RESET:
+            self._reset(entry, frame, "no target holds it", now)
+            return
+        is_recent = (
+            entry.first_search_at is not None
+            and now - entry.first_search_at <= SEARCH_VALIDITY_S
+        )
+        if not is_recent:
+            entry.first_search_at = now
+        if not entry.is_recheck_due:
+            entry.is_recheck_due = True
+            self._schedule_recheck(entry, frame, data, now)
+        self._counts["dropped_no_owner"] += 1
+        self._log.write(
+            "packet dropped: no target holds its flow",
+            now,
+            flow=format_address(unpack_caller(entry.key)),
+            service=entry.service,
+            refused=sorted(entry.bounced_by),
+            targets=self._members.position,
+            outcome="none",
+        )
+
+    def _decide(self, entry: FlowEntry, now: float) -> LostFlowAction:
         targets = TargetListState(
             self._steering.listed_at,
-            self._steering.are_all_in_slow_start(pools, now),
+            self._steering.are_all_in_slow_start(self._list_pools(entry), now),
         )
-        match decide_lost_flow(entry.first_search_at, targets, now):
-            case LostFlowAction.RECHECK:
-                entry.first_search_at = now
-                due = now + RECHECK_DELAY_S
-                self._rechecks.append((due, entry, frame, data))
-                self._rechecks_added.set()
-            case LostFlowAction.RESET:
-                self._reset(entry, frame, "no target holds it", now)
-            case LostFlowAction.WAIT:
-                # Its target may not be known here, so a reset could break a
-                # live flow.
-                self._counts["dropped_no_owner"] += 1
-                self._log.write(
-                    "packet dropped: no target holds its flow",
-                    now,
-                    flow=format_address(unpack_caller(entry.key)),
-                    service=entry.service,
-                    refused=sorted(entry.bounced_by),
-                    targets=self._members.position,
-                    outcome="none",
-                )
+        return decide_lost_flow(entry.first_search_at, targets, now)
+
+    def _schedule_recheck(
+        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
+    ) -> None:
+        due = now + RECHECK_DELAY_S
+        self._rechecks.append((due, entry, frame, data))
+        self._rechecks_added.set()
 
     def _reset(
         self, entry: FlowEntry, frame: Frame, reason: str, now: float
@@ -227,8 +238,13 @@
         """Asks all targets again for the flows whose second search is due."""
         while self._rechecks and self._rechecks[0][0] <= now:
             _, entry, frame, data = self._rechecks.popleft()
+            entry.is_recheck_due = False
             if self._find_owner(entry, frame) or entry.list_search_targets():
                 continue
+            if self._decide(entry, now) is LostFlowAction.WAIT:
+                entry.is_recheck_due = True
+                self._schedule_recheck(entry, frame, data, now)
+                continue
             entry.bounced_by.clear()
             entry.searched.clear()
             self._extend_search(entry, frame, data, now)
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -223,12 +223,17 @@
     def are_all_in_slow_start(
         self, pools: Collection[PoolId], now: float
     ) -> bool:
-        """Returns whether all targets of the pools started a moment ago.
+        """Returns whether all listed targets of the pools have just started.
 
-        Returns False if the pools have no targets.
+        Returns False if no target is listed.
         """
-        found = [c for pool in pools for c in self._pools.get(pool, ())]
-        return bool(found) and all(c.warmup_until > now for c in found)
+        listed = [
+            candidate
+            for pool in pools
+            for candidate in self._pools.get(pool, ())
+            if candidate.removed_at is None
+        ]
+        return bool(listed) and all(c.warmup_until > now for c in listed)
 
     def record_offer(self, candidate: TargetState) -> None:
         """Counts an offer to a target."""
