Choose the target of a new flow among six likely ones

Cause: a new flow went to the least loaded target of its pool, so a balancer to which the network moved the flow had to search the whole pool, six targets at a time. The target is now the best of the first six by a hash of the flow, or of the next six while none of those can answer at once; the search asks in the same order.

Test: test_moved_flows_are_found_within_two_round_trips fails on the code before.

--- a/jujuberun/owner_search.py
+++ b/jujuberun/owner_search.py
@@ -20,7 +20,8 @@
 from jujuberun.members import Members
 from jujuberun.packetport import PacketPort
 from jujuberun.servicemap import ServiceMap
-from jujuberun.steering import Steering, TargetState
+from jujuberun.steering import Steering
+from jujuberun.target_state import TargetState
 
 # Number of targets that receive a packet at once while the owner of its flow is
 # unknown. Asking 35 targets one after the other took over 2 s with busy
--- a/jujuberun/packetport.py
+++ b/jujuberun/packetport.py
@@ -11,7 +11,7 @@
 )
 from jujuberun.ids import PoolId
 from jujuberun.port import BatchHandler, Port
-from jujuberun.steering import TargetState
+from jujuberun.target_state import TargetState
 
 
 class PacketPort:
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -22,8 +22,8 @@
     AGENT_RESTART_S,
     CONFIRMATION_TIMEOUT_S,
     Steering,
-    TargetState,
 )
+from jujuberun.target_state import TargetState
 from jujuberun.wire import Accepted, Declined
 
 # Interval between offers of a held start: about the time until a slot is free.
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -4,9 +4,9 @@
 offer to that target.
 """
 
+import heapq
 import math
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
 from typing import Any
 
 import xxhash
@@ -14,6 +14,7 @@
 from jujuberun.ids import Address, DomainId, PoolId, TargetId, VmState
 from jujuberun.manifest import PoolShare
 from jujuberun.members import Vm, VmList
+from jujuberun.target_state import TargetState
 
 # A start that no agent confirms within this time is offered to another target.
 # It covers a round trip between failure domains (2 ms) and the additional delay
@@ -39,6 +40,14 @@
 # Expected waits are rounded to multiples of this step, because smaller
 # differences may be random.
 COST_STEP_S = 0.005
+# A flow has this many likely targets, by a hash of its key. A new flow goes to
+# the least loaded of them, so that another balancer that receives its packets
+# finds its target in one step, however many targets there are.
+LIKELY_TARGETS = 6
+# A new flow whose likely targets are all busy goes to one of this many more
+# groups of as many targets.
+MAX_FURTHER_GROUPS = 2
+MEDIAN_RETENTION_S = 0.1
 # Time for which an agent is unreachable while it restarts.
 AGENT_RESTART_S = 0.6
 # A target that is no longer registered may still hold flows, so packets are
@@ -46,55 +55,6 @@
 REMOVED_TARGET_RETENTION_S = 60.0
 
 
-@dataclass(slots=True)
-class TargetState:
-    """State of a target as one balancer knows it; times are monotonic.
-
-    Attributes:
-        id: id of the target, which is also the id of its VM.
-        agent: address at which the agent receives the target's packets.
-        pool: pool that the target serves.
-        domain: failure domain of the target.
-        slots: requests that the target runs at the same time.
-        leaving: whether the target is leaving and takes no new flows.
-        warmup_until: end of the slow start.
-        hash_seed: seed for the hash that ranks targets for a flow.
-        busy: flows that waited for an answer at the agent's last report.
-        reported_at: time of the agent's last report.
-        unreported_offers: offers to the target since that report.
-        service_time: seconds per answer, as reported by the agent; 0 if
-            unknown.
-        unconfirmed_offers: consecutive offers that were not confirmed.
-        suspicions: consecutive suspicions.
-        suspected_until: end of the current suspicion.
-        removed_at: time at which the target disappeared from the list of
-            registered targets, None while it is registered.
-    """
-
-    id: TargetId
-    agent: Address
-    pool: PoolId
-    domain: DomainId
-    slots: int
-    leaving: bool
-    warmup_until: float
-    hash_seed: int
-    busy: int = 0
-    reported_at: float = -math.inf
-    unreported_offers: int = 0
-    service_time: float = 0.0
-    unconfirmed_offers: int = 0
-    suspicions: int = 0
-    suspected_until: float = -math.inf
-    removed_at: float | None = None
-
-    def compute_report_age(self, now: float) -> float | None:
-        """Returns seconds since the agent's last report, None if never."""
-        if self.reported_at == -math.inf:
-            return None
-        return round(now - self.reported_at, 3)
-
-
 class Steering:
     """Tracks the targets of all pools and selects one for each new flow.
 
@@ -114,6 +74,7 @@
         self._candidates: dict[TargetId, TargetState] = {}
         self._pools: dict[PoolId, list[TargetState]] = {}
         self._by_agent: dict[Address, list[TargetState]] = {}
+        self._medians: dict[PoolId | None, tuple[float, float]] = {}
 
     def update(self, vm_list: VmList, now: float) -> None:
         """Applies a new list of registered targets.
@@ -154,9 +115,10 @@
     ) -> TargetState | None:
         """Returns the target that should take a new flow, or None.
 
-        Prefers the shortest expected wait, then the lower load, then this
-        balancer's failure domain. Ties are broken by a hash of the flow, so
-        that balancers do not all choose the same target.
+        Considers the likely targets of the flow. Prefers the shortest expected
+        wait, then the lower load, then this balancer's failure domain, then
+        the order of the hash. Further targets are considered only while none
+        of those before can answer without a wait.
 
         Args:
             pools: pools of the service with their weights.
@@ -174,17 +136,34 @@
             and candidate.id not in excluded
             and (include_suspected or candidate.suspected_until <= now)
         ]
-        if not usable:
-            return None
-        median_s = _compute_median_service_time(usable)
-        return min(
-            usable,
-            key=lambda candidate: (
-                self._estimate_cost(candidate, median_s, now),
-                candidate.domain != self._domain,
-                -_hash(key, candidate.hash_seed),
-            ),
-        )
+        ranked = _rank(usable, key, LIKELY_TARGETS * (1 + MAX_FURTHER_GROUPS))
+        median_s = self._find_median_service_time(pool, now)
+        best, best_cost = None, None
+        for index, candidate in enumerate(ranked):
+            is_group_end = index and index % LIKELY_TARGETS == 0
+            if is_group_end and best_cost[0] <= 0:
+                break
+            cost = self._estimate_cost(candidate, median_s, now)
+            if best_cost is None or cost < best_cost:
+                best, best_cost = candidate, cost
+        return best
+
+    def estimate_load(self, candidate: TargetState, now: float) -> float:
+        """Returns the flows that probably wait for an answer of a target.
+
+        Args:
+            candidate: the target.
+            now: seconds, monotonic.
+        """
+        if not candidate.busy:
+            return candidate.unreported_offers
+        service_s = candidate.service_time or DEFAULT_SERVICE_TIME_S
+        if now < candidate.warmup_until:
+            service_s *= WARMUP_RATIO
+        # Estimates how many of the reported flows have been answered since the
+        # report, with all slots in use.
+        answered = (now - candidate.reported_at) * candidate.slots / service_s
+        return candidate.unreported_offers + max(0.0, candidate.busy - answered)
 
     def compute_busy_limit(
         self, candidate: TargetState, remaining: float
@@ -210,15 +189,7 @@
             now: seconds, monotonic.
         """
         found = [c for pool in pools for c in self._pools.get(pool, ())]
-        found.sort(
-            key=lambda candidate: (
-                candidate.suspected_until > now,
-                candidate.removed_at is not None,
-                candidate.domain != self._domain,
-                -_hash(key, candidate.hash_seed),
-            )
-        )
-        return found
+        return _rank(found, key, len(found))
 
     def are_all_in_slow_start(
         self, pools: Collection[PoolId], now: float
@@ -341,20 +312,41 @@
 
     def _estimate_cost(
         self, candidate: TargetState, median_s: float, now: float
-    ) -> tuple[int, float]:
-        """Returns expected wait in steps of COST_STEP_S, and load per slot."""
+    ) -> tuple[int, float, bool]:
+        """Returns the expected wait in steps, the load, and the distance.
+
+        The wait is in multiples of COST_STEP_S, the load in flows per slot. The
+        last value tells whether the target is in another failure domain.
+        """
         service_s = candidate.service_time or median_s
         if now < candidate.warmup_until:
             service_s *= WARMUP_RATIO
-        # Estimates how many of the reported flows have been answered since the
-        # report, with all slots in use.
-        answered = (now - candidate.reported_at) * candidate.slots / service_s
-        load = candidate.unreported_offers + max(0.0, candidate.busy - answered)
+        load = self.estimate_load(candidate, now)
         queued = max(0.0, load + 1 - candidate.slots) / candidate.slots
         cost = queued * service_s
         if service_s > SLOW_RATIO * median_s:
             cost += service_s - median_s
-        return round(cost / COST_STEP_S), load / candidate.slots
+        return (
+            round(cost / COST_STEP_S),
+            load / candidate.slots,
+            candidate.domain != self._domain,
+        )
+
+    def _find_median_service_time(
+        self, pool: PoolId | None, now: float
+    ) -> float:
+        """Returns the median of the targets' service times, in seconds."""
+        until, median_s = self._medians.get(pool, (-math.inf, 0.0))
+        if now < until:
+            return median_s
+        times = sorted(
+            candidate.service_time
+            for candidate in self._pools.get(pool, ())
+            if candidate.service_time and candidate.removed_at is None
+        )
+        median_s = times[len(times) // 2] if times else DEFAULT_SERVICE_TIME_S
+        self._medians[pool] = (now + MEDIAN_RETENTION_S, median_s)
+        return median_s
 
 
 def choose_pool(pools: Iterable[PoolShare], key: bytes) -> PoolId | None:
@@ -373,10 +365,22 @@
     return shares[-1].pool
 
 
-def _hash(key: bytes, seed: int) -> int:
-    return xxhash.xxh3_64_intdigest(key, seed=seed)
-
+def _rank(
+    candidates: Collection[TargetState], key: bytes, count: int
+) -> list[TargetState]:
+    """Returns the first targets in the order of a hash of the flow's key.
 
-def _compute_median_service_time(candidates: Collection[TargetState]) -> float:
-    times = sorted(c.service_time for c in candidates if c.service_time)
-    return times[len(times) // 2] if times else DEFAULT_SERVICE_TIME_S
+    All balancers compute the same order.
+    """
+    compute = xxhash.xxh3_64_intdigest
+    hashes = [
+        (compute(key, candidate.hash_seed), index)
+        for index, candidate in enumerate(candidates)
+    ]
+    ordered = (
+        heapq.nlargest(count, hashes)
+        if count < len(hashes)
+        else sorted(hashes, reverse=True)
+    )
+    candidates = list(candidates)
+    return [candidates[index] for _, index in ordered]
--- a/tests/test_owner_search.py
+++ b/tests/test_owner_search.py
@@ -84,3 +84,25 @@
         fleet.net.run(RECHECK_DELAY_S)
         fleet.check_offers()
         self.assertEqual((2, 0), (caller.answers, caller.resets))
+
+
+class LikelyTargetsTest(testtools.TestCase):
+    def test_moved_flows_are_found_within_two_round_trips(self):
+        # Guards against a search of the whole pool for each flow after the
+        # network moved them to other balancers: with 43 targets, searches took
+        # longer than callers' packets may go astray.
+        fleet = Fleet(balancers=2, targets=60, slots=2)
+        callers = []
+        for number in range(1, 91):
+            caller = Caller(fleet.net, number)
+            caller.start(fleet.balancers[0])
+            callers.append(caller)
+        fleet.net.run()
+        for caller in callers:
+            caller.send_request(fleet.balancers[1])
+        # The way over balancer, agent, target and agent to the caller takes
+        # 5 ms; another round trip between balancer and target takes 4 ms.
+        fleet.net.run(0.010)
+        self.assertEqual([1] * 90, [caller.answers for caller in callers])
+        strays = sum(target.unknown_packets for target in fleet.targets)
+        self.assertLessEqual(strays / 90, 8)
