Order waiting starts, and refuse those that cannot be placed

Load: a flood. Starts waited by a poll each, first come first served; a start older than 0.8 s, late for every objective, was queued at a target of any load, so that all others became late too, and each start was offered up to five times every 30 ms. Nothing was refused.

Now the starts of a pool wait together. Those that can still meet their objective go first, by urgency and objective; late ones take free slots, and shortly before the end a place behind one answer. A target that is known to be busy gets no offer. A start that the measured rate cannot place before its caller gives up is refused at once, if no target may still open it. Every fourth round begins with the oldest start.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from jujuberun.frames import Frame, compute_sequence_distance
-from jujuberun.ids import PoolId, ServiceId, TargetId
+from jujuberun.ids import PoolId, ServiceId, TargetId, Urgency
 from jujuberun.manifest import PoolShare
 
 # After this time without a bounce, all targets are tried again for a flow,
@@ -49,7 +49,6 @@
             last held it.
         decline_count: declines since the balancer last held the start.
         hold_count: how often the balancer held the start.
-        is_held: whether the balancer holds the start until its next offer.
         bounced_by: targets that bounced a packet of the flow.
         bounced_at: time of the last bounce, seconds, monotonic.
         searched: targets that packets were sent to in search of the owner.
@@ -59,6 +58,7 @@
         last_sequences: sequence and acknowledged number of the caller's last
             packet.
         was_reset: whether the caller was sent a reset for the start.
+        urgency: urgency class of the service; lower values go first.
         objective: seconds within which the caller expects an answer.
         start_delay: seconds from the caller's first start packet to the copy
             that reached this balancer first.
@@ -75,7 +75,6 @@
     declined: set[TargetId] = field(default_factory=set)
     decline_count: int = 0
     hold_count: int = 0
-    is_held: bool = False
     bounced_by: set[TargetId] = field(default_factory=set)
     bounced_at: float = 0.0
     searched: list[TargetId] = field(default_factory=list)
@@ -83,6 +82,7 @@
     is_recheck_due: bool = False
     last_sequences: tuple[int, int] = (-1, -1)
     was_reset: bool = False
+    urgency: int = Urgency.NORMAL
     objective: float = 0.0
     start_delay: float = 0.0
 
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -231,6 +231,7 @@
         entry = FlowEntry(
             frame.key, service.id, service.pools, now, now, data, frame.sequence
         )
+        entry.urgency = service.urgency
         entry.objective = service.objective or DEFAULT_OBJECTIVE_S
         entry.start_delay = get_copy_delay(frame.copy)
         self._flows.add(entry)
@@ -270,6 +271,7 @@
             self._search.redirect_bounced(entry, frame, data, now)
             return
         self.counts["starts_bounced"] += 1
+        self._steering.record_returned_offer(candidates[0])
         if entry.is_accepted or entry.start_packet is None:
             return
         entry.offers = [
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -1,7 +1,5 @@
 """Dispatcher that offers start packets to targets until one accepts."""
 
-import heapq
-import itertools
 import math
 from collections import Counter, deque
 from typing import Any
@@ -14,26 +12,31 @@
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
 from jujuberun.frames import NO_BUSY_LIMIT, Frame, unpack_caller
 from jujuberun.generations import Generations
-from jujuberun.ids import Address, TargetId
+from jujuberun.ids import Address, PoolId
 from jujuberun.members import Members
 from jujuberun.packetport import PacketPort
 from jujuberun.peers import Peers
+from jujuberun.start_placement import (
+    MAX_FREE_SLOT_TRIES,
+    NoPlace,
+    Place,
+    find_place,
+)
 from jujuberun.steering import (
     AGENT_RESTART_S,
     CONFIRMATION_TIMEOUT_S,
     Steering,
+    choose_pool,
 )
 from jujuberun.target_state import TargetState
+from jujuberun.waiting_starts import WaitingStarts
 from jujuberun.wire import Accepted, Declined
 
-# Interval between offers of a held start: about the time until a slot is free.
-HOLD_RETRY_INTERVAL_S = 0.03
-# A start older than this is not held; it queues at a target of any load.
-MAX_HOLD_S = 0.8
-# A start is offered for a free slot until it was declined this many times, then
-# for a place in a short queue until it was declined this many more times.
-MAX_FREE_SLOT_TRIES = 3
-MAX_QUEUE_TRIES = 2
+# Interval at which waiting starts are offered again; targets need a multiple of
+# it for an answer.
+ROUND_INTERVAL_S = 0.015
+# After so many waiting starts of a pool found no room, the others wait too.
+MAX_MISSES_PER_ROUND = 3
 MAX_OFFERED_TARGETS = 4
 # A caller abandons a start after 1.4 s; older starts are not offered again.
 START_LIFETIME_S = 1.3
@@ -78,8 +81,8 @@
         self._counts = counts
         self._log = log
         self._unconfirmed: deque[tuple[float, FlowEntry, Offer]] = deque()
-        self._held_starts: list[tuple[float, int, FlowEntry]] = []
-        self._tie_breaker = itertools.count()
+        self._waiting: dict[PoolId | None, WaitingStarts] = {}
+        self._next_round_at = math.inf
         self._timers_changed = anyio.Event()
         peers.register(Accepted, self._handle_accepted)
         peers.register(Declined, self._handle_declined)
@@ -105,19 +108,25 @@
 
     def offer(self, entry: FlowEntry, now: float) -> None:
         """Offers a start to the next target, or holds or refuses it."""
-        tried = {offer.target for offer in entry.offers}
-        candidate, busy_limit = self._choose_target(
-            entry, entry.bounced_by | tried, now
-        )
-        if candidate is None or len(tried) >= MAX_OFFERED_TARGETS:
+        if not entry.hold_count:
+            pool = choose_pool(entry.pools, entry.key)
+            waiting = self._waiting.get(pool)
+            service_time = self._steering.find_service_time(pool, now)
+            if waiting and waiting.has_precedence(entry, service_time, now):
+                self._hold_start(entry, now)
+                return
+        if len(entry.offers) >= MAX_OFFERED_TARGETS:
             self._retry_unconfirmed_offer(entry, now)
             return
-        if busy_limit is None:
-            self._hold_start(entry, now)
-            return
-        offer = Offer(candidate.id, now)
-        entry.offers.append(offer)
-        self._send(entry, offer, candidate, busy_limit, now)
+        match find_place(entry, self._steering, now):
+            case NoPlace.NO_TARGET:
+                self._retry_unconfirmed_offer(entry, now)
+            case NoPlace.NO_ROOM:
+                self._hold_start(entry, now)
+            case Place(target, busy_limit):
+                offer = Offer(target.id, now)
+                entry.offers.append(offer)
+                self._send(entry, offer, target, busy_limit, now)
 
     def _retry_unconfirmed_offer(self, entry: FlowEntry, now: float) -> None:
         """Offers a start again to a target that did not confirm it.
@@ -154,7 +163,7 @@
         self._unconfirmed.append((now + CONFIRMATION_TIMEOUT_S, entry, offer))
 
     def _hold_start(self, entry: FlowEntry, now: float) -> None:
-        """Schedules another offer of a start in HOLD_RETRY_INTERVAL_S."""
+        """Lets a start wait until a target has room."""
         if not entry.hold_count:
             self._counts["starts_held"] += 1
             self._log.write(
@@ -166,45 +175,40 @@
                 left_ms=round(entry.compute_remaining(now) * 1000),
             )
         entry.declined.clear()
-        entry.decline_count = 0
-        if entry.is_held:
-            # This start is already held, and the caller sent it again.
-            return
-        entry.is_held = True
+        # Reports of the targets that declined are known by now, so one more
+        # offer for a free slot is enough.
+        entry.decline_count = MAX_FREE_SLOT_TRIES - 1
         entry.hold_count += 1
-        due = now + HOLD_RETRY_INTERVAL_S
-        heapq.heappush(self._held_starts, (due, next(self._tie_breaker), entry))
-        self._timers_changed.set()
-
-    def _choose_target(
-        self, entry: FlowEntry, excluded: set[TargetId], now: float
-    ) -> tuple[TargetState | None, int | None]:
-        """Returns the target for the next offer, and the busy limit to send.
+        pool = choose_pool(entry.pools, entry.key)
+        self._waiting.setdefault(pool, WaitingStarts()).add(entry)
+        if self._next_round_at == math.inf:
+            self._next_round_at = now + ROUND_INTERVAL_S
+            self._timers_changed.set()
 
-        Prefers a target with a free slot. Without one, a start that can still
-        be answered in time may queue. The limit is None if it has to be held.
-        """
-        choose = self._steering.choose
-        if entry.decline_count < MAX_FREE_SLOT_TRIES:
-            free = choose(
-                entry.pools, entry.key, excluded | entry.declined, now
-            )
-            if free is not None:
-                return free, min(free.slots, NO_BUSY_LIMIT - 1)
-        target = choose(entry.pools, entry.key, excluded, now)
-        if target is None:
-            target = choose(
-                entry.pools, entry.key, excluded, now, include_suspected=True
-            )
-        if target is None or now - entry.first_seen_at > MAX_HOLD_S:
-            return target, NO_BUSY_LIMIT
-        busy_limit = self._steering.compute_busy_limit(
-            target, entry.compute_remaining(now)
-        )
-        tries = MAX_FREE_SLOT_TRIES + MAX_QUEUE_TRIES
-        if busy_limit > target.slots and entry.decline_count < tries:
-            return target, min(busy_limit, NO_BUSY_LIMIT - 1)
-        return target, None
+    def _run_round(self, now: float) -> None:
+        """Offers the waiting starts of each pool again, in their order."""
+        for pool, waiting in self._waiting.items():
+            service_time = self._steering.find_service_time(pool, now)
+            ordered = waiting.list_in_order(service_time, now)
+            misses = 0
+            for position, entry in enumerate(ordered):
+                time_left = START_LIFETIME_S - (now - entry.first_seen_at)
+                if entry.is_accepted or entry.start_packet is None:
+                    waiting.remove(entry)
+                elif time_left < 0:
+                    waiting.remove(entry)
+                    self._refuse_start(entry, "its time is over", now)
+                elif misses < MAX_MISSES_PER_ROUND:
+                    waiting.remove(entry)
+                    holds = entry.hold_count
+                    self.offer(entry, now)
+                    misses += entry.hold_count > holds
+                elif waiting.is_hopeless(position, time_left, now):
+                    waiting.remove(entry)
+                    reason = "no target has room before its caller gives up"
+                    self._refuse_start(entry, reason, now)
+        has_more = any(map(len, self._waiting.values()))
+        self._next_round_at = now + ROUND_INTERVAL_S if has_more else math.inf
 
     def _refuse_start(self, entry: FlowEntry, reason: str, now: float) -> None:
         """Refuses a start unless a target has accepted or may still accept it.
@@ -246,6 +250,9 @@
             entry.offers.append(offer)
         if offer.sequence is None:
             self.start_times.add(now - entry.first_seen_at)
+            waiting = self._waiting.get(candidate.pool)
+            if waiting is not None:
+                waiting.record_placement(now)
             self._log.write(
                 "start accepted",
                 now,
@@ -284,6 +291,8 @@
             return
         if any(not offer.timed_out for offer in entry.offers):
             return
+        if any(w.contains(entry) for w in self._waiting.values()):
+            return
         if declined.draining and not self._has_other_target(entry, now):
             # The agent restarts at once, and its target keeps running.
             self._hold_start(entry, now)
@@ -304,10 +313,10 @@
 
     def _has_other_target(self, entry: FlowEntry, now: float) -> bool:
         """Returns whether a target remains to which a start can be offered."""
-        tried = {offer.target for offer in entry.offers}
-        excluded = entry.bounced_by | entry.declined | tried
-        choose = self._steering.choose
-        return choose(entry.pools, entry.key, excluded, now) is not None
+        tried = (offer.target for offer in entry.offers)
+        excluded = entry.bounced_by.union(entry.declined, tried)
+        pools, key = entry.pools, entry.key
+        return self._steering.choose(pools, key, excluded, now) is not None
 
     def _record_report(
         self,
@@ -337,7 +346,7 @@
             self._drop_confirmed()
             wakeup_at = min(
                 self._unconfirmed[0][0] if self._unconfirmed else math.inf,
-                self._held_starts[0][0] if self._held_starts else math.inf,
+                self._next_round_at,
             )
             with anyio.CancelScope(deadline=wakeup_at):
                 await self._timers_changed.wait()
@@ -355,15 +364,8 @@
         while self._unconfirmed and self._unconfirmed[0][0] <= now:
             _, entry, offer = self._unconfirmed.popleft()
             self._expire_offer(entry, offer, now)
-        while self._held_starts and self._held_starts[0][0] <= now:
-            _, _, entry = heapq.heappop(self._held_starts)
-            entry.is_held = False
-            if entry.is_accepted or entry.start_packet is None:
-                continue
-            if now - entry.first_seen_at > START_LIFETIME_S:
-                self._refuse_start(entry, "its time is over", now)
-                continue
-            self.offer(entry, now)
+        if self._next_round_at <= now:
+            self._run_round(now)
 
     def _expire_offer(self, entry: FlowEntry, offer: Offer, now: float) -> None:
         """Offers a start to another target if an offer was not confirmed."""
--- /dev/null
+++ b/jujuberun/start_placement.py
@@ -0,0 +1,79 @@
+"""Chooses the target to which a start is offered next, and on what terms."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from jujuberun.flowtable import FlowEntry
+from jujuberun.frames import NO_BUSY_LIMIT
+from jujuberun.steering import Steering
+from jujuberun.target_state import TargetState
+
+# A start is offered for a free slot until it was declined this many times, then
+# for a place in a short queue until it was declined this many more times.
+MAX_FREE_SLOT_TRIES = 3
+MAX_QUEUE_TRIES = 2
+# A start that has waited for this time may queue behind one answer of each
+# slot, although it is late: its caller soon gives up.
+MAX_HOLD_S = 0.8
+LATE_QUEUE_PER_SLOT = 1
+
+
+class NoPlace(Enum):
+    """Why a start is not offered now.
+
+    Attributes:
+        NO_ROOM: all targets are busy; one may have room later.
+        NO_TARGET: no target is left that has not been tried.
+    """
+
+    NO_ROOM = "no room"
+    NO_TARGET = "no target"
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """A target to which a start is offered.
+
+    Attributes:
+        target: the target.
+        busy_limit: busy flows at the target below which its agent accepts.
+    """
+
+    target: TargetState
+    busy_limit: int
+
+
+def find_place(
+    entry: FlowEntry, steering: Steering, now: float
+) -> Place | NoPlace:
+    """Returns the place that a start is offered next.
+
+    Prefers a target with a free slot. Without one, a start that can still be
+    answered in time may queue. A target that is known to be too busy gets no
+    offer, so that a flood of starts does not become a flood of offers.
+
+    Args:
+        entry: flow of the start.
+        steering: knows the targets and their load.
+        now: seconds, monotonic.
+    """
+    tried = entry.bounced_by.union(offer.target for offer in entry.offers)
+    pools, key = entry.pools, entry.key
+    target = steering.choose(pools, key, tried | entry.declined, now)
+    if target is not None and entry.decline_count < MAX_FREE_SLOT_TRIES:
+        if steering.estimate_load(target, now) < target.slots:
+            return Place(target, min(target.slots, NO_BUSY_LIMIT - 1))
+    elif target is None:
+        target = steering.choose(pools, key, tried, now) or steering.choose(
+            pools, key, tried, now, include_suspected=True
+        )
+    if target is None:
+        return NoPlace.NO_TARGET
+    limit = steering.compute_busy_limit(target, entry.compute_remaining(now))
+    if now - entry.first_seen_at > MAX_HOLD_S:
+        limit = max(limit, target.slots * (1 + LATE_QUEUE_PER_SLOT))
+    if limit <= target.slots or steering.estimate_load(target, now) >= limit:
+        return NoPlace.NO_ROOM
+    if entry.decline_count >= MAX_FREE_SLOT_TRIES + MAX_QUEUE_TRIES:
+        return NoPlace.NO_ROOM
+    return Place(target, min(limit, NO_BUSY_LIMIT - 1))
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -137,7 +137,7 @@
             and (include_suspected or candidate.suspected_until <= now)
         ]
         ranked = _rank(usable, key, LIKELY_TARGETS * (1 + MAX_FURTHER_GROUPS))
-        median_s = self._find_median_service_time(pool, now)
+        median_s = self.find_service_time(pool, now)
         best, best_cost = None, None
         for index, candidate in enumerate(ranked):
             is_group_end = index and index % LIKELY_TARGETS == 0
@@ -165,6 +165,20 @@
         answered = (now - candidate.reported_at) * candidate.slots / service_s
         return candidate.unreported_offers + max(0.0, candidate.busy - answered)
 
+    def find_service_time(self, pool: PoolId | None, now: float) -> float:
+        """Returns the median service time of a pool's targets, in seconds."""
+        until, median_s = self._medians.get(pool, (-math.inf, 0.0))
+        if now < until:
+            return median_s
+        times = sorted(
+            candidate.service_time
+            for candidate in self._pools.get(pool, ())
+            if candidate.service_time and candidate.removed_at is None
+        )
+        median_s = times[len(times) // 2] if times else DEFAULT_SERVICE_TIME_S
+        self._medians[pool] = (now + MEDIAN_RETENTION_S, median_s)
+        return median_s
+
     def compute_busy_limit(
         self, candidate: TargetState, remaining: float
     ) -> int:
@@ -210,6 +224,10 @@
         """Counts an offer to a target."""
         candidate.unreported_offers += 1
 
+    def record_returned_offer(self, candidate: TargetState) -> None:
+        """Counts an offer that the target returned: it keeps no slot busy."""
+        candidate.unreported_offers = max(0, candidate.unreported_offers - 1)
+
     def record_report(
         self, candidate: TargetState, busy: int, service_time: float, now: float
     ) -> None:
@@ -238,7 +256,7 @@
             Whether the target is suspected from now on.
         """
         candidate.unconfirmed_offers += 1
-        candidate.unreported_offers = max(0, candidate.unreported_offers - 1)
+        self.record_returned_offer(candidate)
         if candidate.unconfirmed_offers < OFFERS_TO_SUSPECT:
             return False
         candidate.unconfirmed_offers = 0
@@ -332,22 +350,6 @@
             candidate.domain != self._domain,
         )
 
-    def _find_median_service_time(
-        self, pool: PoolId | None, now: float
-    ) -> float:
-        """Returns the median of the targets' service times, in seconds."""
-        until, median_s = self._medians.get(pool, (-math.inf, 0.0))
-        if now < until:
-            return median_s
-        times = sorted(
-            candidate.service_time
-            for candidate in self._pools.get(pool, ())
-            if candidate.service_time and candidate.removed_at is None
-        )
-        median_s = times[len(times) // 2] if times else DEFAULT_SERVICE_TIME_S
-        self._medians[pool] = (now + MEDIAN_RETENTION_S, median_s)
-        return median_s
-
 
 def choose_pool(pools: Iterable[PoolShare], key: bytes) -> PoolId | None:
     """Returns a pool for a new flow, by weight and a hash of the flow's key."""
--- /dev/null
+++ b/jujuberun/waiting_starts.py
@@ -0,0 +1,113 @@
+"""Starts that wait at a balancer until a target of their pool has room.
+
+The decisions answer two loads: a flood, in which most starts cannot be served
+in time, and a restart, after which all callers return at once.
+"""
+
+from collections import deque
+
+from jujuberun.flowtable import FlowEntry
+
+# Placements of this period give the rate from which waits are estimated.
+RATE_PERIOD_S = 1.0
+# With fewer placements in the period, no wait is estimated.
+MIN_PLACEMENTS = 5
+# Every n-th round begins with the start that has waited longest, so that the
+# least urgent work is delayed but never starved.
+FAIR_ROUND = 4
+
+
+def rank_start(
+    entry: FlowEntry, service_time: float, now: float
+) -> tuple[bool, int, float]:
+    """Returns the rank of a start; the lowest rank is placed first.
+
+    Starts that can still be answered within their objective come first, in the
+    order of their urgency and then of their objective. A late start never
+    delays one in time. Late starts follow in the order of urgency and age.
+
+    Args:
+        entry: the start.
+        service_time: seconds that a target needs for an answer.
+        now: seconds, monotonic.
+    """
+    remaining = entry.compute_remaining(now)
+    is_late = remaining < service_time
+    return is_late, entry.urgency, entry.first_seen_at if is_late else remaining
+
+
+class WaitingStarts:
+    """Starts of one pool that wait for room."""
+
+    def __init__(self) -> None:
+        self._entries: dict[bytes, FlowEntry] = {}
+        self._placed_at: deque[float] = deque()
+        self._rounds = 0
+
+    def __len__(self) -> int:
+        """Returns the number of waiting starts."""
+        return len(self._entries)
+
+    def add(self, entry: FlowEntry) -> None:
+        """Adds a start."""
+        self._entries[entry.key] = entry
+
+    def remove(self, entry: FlowEntry) -> None:
+        """Removes a start that was placed, refused or abandoned."""
+        if self.contains(entry):
+            del self._entries[entry.key]
+
+    def contains(self, entry: FlowEntry) -> bool:
+        """Returns whether a start waits."""
+        return self._entries.get(entry.key) is entry
+
+    def record_placement(self, now: float) -> None:
+        """Records that a target accepted a start of the pool."""
+        self._placed_at.append(now)
+        self._forget_placements(now)
+
+    def list_in_order(self, service_time: float, now: float) -> list[FlowEntry]:
+        """Returns the starts in the order in which they are to be placed.
+
+        Args:
+            service_time: seconds that a target needs for an answer.
+            now: seconds, monotonic.
+        """
+        ordered = sorted(
+            self._entries.values(),
+            key=lambda entry: rank_start(entry, service_time, now),
+        )
+        self._rounds += 1
+        if ordered and self._rounds % FAIR_ROUND == 0:
+            oldest = min(ordered, key=lambda entry: entry.first_seen_at)
+            ordered.remove(oldest)
+            ordered.insert(0, oldest)
+        return ordered
+
+    def has_precedence(
+        self, entry: FlowEntry, service_time: float, now: float
+    ) -> bool:
+        """Returns whether a waiting start is to be placed before a new one."""
+        rank = rank_start(entry, service_time, now)
+        return any(
+            rank_start(other, service_time, now) < rank
+            for other in self._entries.values()
+        )
+
+    def is_hopeless(self, position: int, time_left: float, now: float) -> bool:
+        """Returns whether a start will not be placed in its time.
+
+        Args:
+            position: number of starts that are placed before this one.
+            time_left: seconds until the caller gives up.
+            now: seconds, monotonic.
+        """
+        self._forget_placements(now)
+        if len(self._placed_at) < MIN_PLACEMENTS:
+            return False
+        wait = (position + 1) * RATE_PERIOD_S / len(self._placed_at)
+        return wait > time_left
+
+    def _forget_placements(self, now: float) -> None:
+        while self._placed_at and now - self._placed_at[0] > RATE_PERIOD_S:
+            self._placed_at.popleft()
--- a/tests/packetpath.py
+++ b/tests/packetpath.py
@@ -60,17 +60,17 @@
 
 
 def make_service(name="r-1", address=ADDRESS, pool=POOL, **changes):
-    return Service(
-        id=name,
-        address=address,
-        urgency=Urgency.NORMAL,
-        headroom=1.0,
-        protocol=Protocol.PACKET,
-        first_packet=FirstPacket(FirstPacketRule.ANY),
-        targets=(),
-        pools=(PoolShare(pool, 1),),
-        **changes,
-    )
+    values = {
+        "id": name,
+        "address": address,
+        "urgency": Urgency.NORMAL,
+        "headroom": 1.0,
+        "protocol": Protocol.PACKET,
+        "first_packet": FirstPacket(FirstPacketRule.ANY),
+        "targets": (),
+        "pools": (PoolShare(pool, 1),),
+    }
+    return Service(**(values | changes))
 
 
 def make_vm(
@@ -153,6 +153,8 @@
         handled_requests: key and payload of each request, in order.
         unknown_packets: packets after the start of a flow that is not held.
         rejects_starts: whether the target bounces starts.
+        work: seconds of one slot for each request, 0 to answer at once.
+        slots: requests that run at the same time.
         is_dead: whether the target ignores all packets.
     """
 
@@ -160,6 +162,7 @@
         self.net, self.host, self.pool = net, host, pool
         self.flows, self.handled_requests, self.unknown_packets = {}, [], 0
         self.rejects_starts = self.is_dead = False
+        self.work, self.slots, self.free_at = 0.0, 2, []
         self.address = (host, TARGET_PORT)
         self.outbound = (host, OUTBOUND_PORT)
         net.listeners[self.address] = self.receive
@@ -206,11 +209,33 @@
             return
         if frame.size:
             self.handled_requests.append((frame.key, data[32:]))
-            self.answer(service, caller, ACK, state + 1, 0, b"done")
-
-    def answer(self, service, caller, flags, sequence, acknowledged, data=b""):
+            delay = self.run_request()
+            self.answer(service, caller, ACK, state + 1, 0, b"done", delay)
+
+    def run_request(self):
+        """Returns the seconds until a request that arrives now is answered."""
+        if not self.work:
+            return 0.0
+        now = self.net.now
+        if len(self.free_at) < self.slots:
+            started = now
+        else:
+            started = max(now, heapq.heappop(self.free_at))
+        heapq.heappush(self.free_at, started + self.work)
+        return started + self.work - now
+
+    def answer(
+        self,
+        service,
+        caller,
+        flags,
+        sequence,
+        acknowledged,
+        data=b"",
+        delay=0.0,
+    ):
         packet = pack(service, caller, flags, sequence, acknowledged, data)
-        self.net.enqueue(packet, self.address, self.outbound)
+        self.net.enqueue(packet, self.address, self.outbound, delay)
 
 
 def unpack(key):
@@ -267,9 +292,10 @@
         self.queue, self.sent_count = [], 0
         self.silent = set()  # hosts that drop all packets
 
-    def enqueue(self, data, sender, address):
+    def enqueue(self, data, sender, address, delay=0.0):
         self.sent_count += 1
-        entry = (self.now + 0.001, self.sent_count, data, sender, address)
+        due = self.now + 0.001 + delay
+        entry = (due, self.sent_count, data, sender, address)
         heapq.heappush(self.queue, entry)
 
     def run(self, seconds=0.03):
