Refuse starts that still wait when a balancer stops

Load: a planned stop while no target has room. The stop ended 0.3 s after the last packet, while starts wait for up to 1.3 s; they were dropped without an answer. The stop now waits for them within its limit, and refuses the rest. A start whose first copy this balancer saw may be refused after later copies too: its caller sends no request before it has an answer. Test: PlannedStopTest fails before. Handling of load reports moves to load_reports.py.

--- /dev/null
+++ b/jujuberun/load_reports.py
@@ -0,0 +1,58 @@
+"""Load of targets, as their agents report it with each answer to an offer."""
+
+from collections import Counter
+from typing import Any
+
+from jujuberun.flowtable import FlowEntry
+from jujuberun.ids import Address
+from jujuberun.steering import Steering
+from jujuberun.target_state import TargetState
+
+
+class LoadReports:
+    """Stores the load in messages of agents."""
+
+    def __init__(
+        self, steering: Steering, agent_port: int, counts: Counter[str]
+    ) -> None:
+        """Builds the part of one balancer.
+
+        Args:
+            steering: knows the targets; receives their load.
+            agent_port: port at which all agents receive packets.
+            counts: event counters of the balancer.
+        """
+        self._steering = steering
+        self._agent_port = agent_port
+        self._counts = counts
+
+    def record(
+        self,
+        message: Any,
+        entry: FlowEntry | None,
+        sender: Address,
+        now: float,
+    ) -> TargetState | None:
+        """Stores the load that an agent reports.
+
+        Args:
+            message: Accepted or Declined.
+            entry: the flow that the message is about, None if it is unknown.
+            sender: peer address of the agent.
+            now: seconds, monotonic.
+
+        Returns:
+            The agent's target, None if it is unknown.
+        """
+        agent = (sender[0], self._agent_port)
+        candidates = self._steering.find_by_agent(agent)
+        if not candidates:
+            self._counts["reports_unknown"] += 1
+            return None
+        candidate = candidates[0]
+        if entry is not None and len(candidates) > 1:
+            offered = [c for c in candidates if entry.find_offer(c.id)]
+            candidate = (offered or candidates)[0]
+        service_time = message.service_time / 1e6
+        self._steering.record_report(candidate, message.busy, service_time, now)
+        return candidate
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -129,6 +129,8 @@
     async def drain(self, quiet: float, limit: float) -> None:
         """Forwards packets until the network sends no more.
 
+        Starts that still wait for a target at the end are refused.
+
         Args:
             quiet: seconds without a packet after which the wait ends.
             limit: maximum duration of the wait in seconds.
@@ -139,9 +141,12 @@
             now = anyio.current_time()
             waited = now - started
             is_quiet = (
-                now - self.last_packet_at > quiet and waited > ROTATION_EXIT_S
+                now - self.last_packet_at > quiet
+                and waited > ROTATION_EXIT_S
+                and not self._dispatcher.has_waiting_starts
             )
             if is_quiet or waited > limit:
+                self._dispatcher.refuse_waiting_starts(now)
                 return
 
     def forward(self, batch: list[tuple[bytes, Address]], now: float) -> None:
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -13,6 +13,7 @@
 from jujuberun.frames import NO_BUSY_LIMIT, Frame, unpack_caller
 from jujuberun.generations import Generations
 from jujuberun.ids import Address, PoolId
+from jujuberun.load_reports import LoadReports
 from jujuberun.members import Members
 from jujuberun.packetport import PacketPort
 from jujuberun.peers import Peers
@@ -80,6 +81,7 @@
         self._members = members
         self._counts = counts
         self._log = log
+        self._reports = LoadReports(steering, port.port_number, counts)
         self._unconfirmed: deque[tuple[float, FlowEntry, Offer]] = deque()
         self._waiting: dict[PoolId | None, WaitingStarts] = {}
         self._next_round_at = math.inf
@@ -106,6 +108,18 @@
                 return
         self.offer(entry, now)
 
+    @property
+    def has_waiting_starts(self) -> bool:
+        """Whether a start waits for room at a target."""
+        return any(map(len, self._waiting.values()))
+
+    def refuse_waiting_starts(self, now: float) -> None:
+        """Refuses all waiting starts, because the balancer ends."""
+        for waiting in self._waiting.values():
+            for entry in waiting.list_in_order(0.0, now):
+                waiting.remove(entry)
+                self._refuse_start(entry, "the balancer stops", now)
+
     def offer(self, entry: FlowEntry, now: float) -> None:
         """Offers a start to the next target, or holds or refuses it."""
         if not entry.hold_count:
@@ -207,8 +221,9 @@
                     waiting.remove(entry)
                     reason = "no target has room before its caller gives up"
                     self._refuse_start(entry, reason, now)
-        has_more = any(map(len, self._waiting.values()))
-        self._next_round_at = now + ROUND_INTERVAL_S if has_more else math.inf
+        self._next_round_at = (
+            now + ROUND_INTERVAL_S if self.has_waiting_starts else math.inf
+        )
 
     def _refuse_start(self, entry: FlowEntry, reason: str, now: float) -> None:
         """Refuses a start unless a target has accepted or may still accept it.
@@ -221,7 +236,10 @@
         if entry.start_packet is None or entry.was_reset:
             return
         frame = self._port.parse(entry.start_packet)
-        if frame is None or (frame.copy and not entry.offers):
+        # The caller sent an earlier copy of this start to another balancer,
+        # where it may have been accepted.
+        began_elsewhere = entry.start_delay > 0 and not entry.offers
+        if frame is None or began_elsewhere:
             return
         entry.was_reset = True
         self._counts["reset_no_target"] += 1
@@ -241,7 +259,7 @@
         self, accepted: Any, sender: Address, now: float
     ) -> None:
         entry = self._flows.find(accepted.key, now)
-        candidate = self._record_report(accepted, entry, sender, now)
+        candidate = self._reports.record(accepted, entry, sender, now)
         if entry is None or candidate is None:
             return
         offer = entry.find_offer(candidate.id)
@@ -274,7 +292,7 @@
         self, declined: Any, sender: Address, now: float
     ) -> None:
         entry = self._flows.find(declined.key, now)
-        candidate = self._record_report(declined, entry, sender, now)
+        candidate = self._reports.record(declined, entry, sender, now)
         if entry is None or candidate is None:
             return
         self._counts["declined"] += 1
@@ -318,27 +336,6 @@
         pools, key = entry.pools, entry.key
         return self._steering.choose(pools, key, excluded, now) is not None
 
-    def _record_report(
-        self,
-        message: Any,
-        entry: FlowEntry | None,
-        sender: Address,
-        now: float,
-    ) -> TargetState | None:
-        """Stores the load that an agent reports; returns the agent's target."""
-        agent = (sender[0], self._port.port_number)
-        candidates = self._steering.find_by_agent(agent)
-        if not candidates:
-            self._counts["reports_unknown"] += 1
-            return None
-        candidate = candidates[0]
-        if entry is not None and len(candidates) > 1:
-            offered = [c for c in candidates if entry.find_offer(c.id)]
-            candidate = (offered or candidates)[0]
-        service_time = message.service_time / 1e6
-        self._steering.record_report(candidate, message.busy, service_time, now)
-        return candidate
-
     async def run_timers(self) -> None:
         """Checks offers and held starts when they are due, until cancelled."""
         while True:
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -4,10 +4,13 @@
 request once the start was accepted. Targets have slots and a working time.
 """
 
+import anyio
 import testtools
+from network import run_virtual
 from packetpath import ADDRESS, Caller, Fleet, make_service
 
 from jujuberun.ids import Urgency
+from jujuberun.relay import ROTATION_EXIT_S
 
 WORK_S = 0.03
 OBJECTIVE_S = 0.15
@@ -148,3 +151,36 @@
         )
         # At most three packets between daemons for each start on the mean.
         self.assertLess(declined * 2 / starts, 3)
+
+
+class PlannedStopTest(testtools.TestCase):
+    def test_starts_that_wait_are_refused_at_the_end_of_a_stop(self):
+        # Guards against a planned stop under load that drops starts which the
+        # balancer has taken, without an answer to their callers.
+        replay = LoadReplay(balancers=1, targets=2)
+        fleet = replay.fleet
+        for target in fleet.targets:
+            target.sidecar.draining = True
+        relay = fleet.balancers[0].relay
+
+        async def stop():
+            await anyio.sleep(fleet.net.now - anyio.current_time())
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.arrive, replay)
+                await relay.drain(0.3, 2.0)
+                group.cancel_scope.cancel()
+            fleet.net.run()
+
+        run_virtual(stop)
+        callers = replay.callers[ADDRESS]
+        self.assertGreater(len(callers), 0)
+        self.assertEqual([], [c for c in callers if not c.resets])
+
+    async def arrive(self, replay):
+        """Lets callers arrive until the network sends them elsewhere."""
+        started = anyio.current_time()
+        while True:
+            await anyio.sleep(STEP_S)
+            if anyio.current_time() - started < ROTATION_EXIT_S:
+                replay.add_caller(ADDRESS)
+            replay.advance()
