Send the packets of a moved flow once, not to six targets each

Cause: a balancer sent every packet of a flow that it adopted to all searched targets until the others had returned the first one, and forgot the owner, known by elimination, a second after the last return.

Further packets now wait up to 30 ms for the end of the search, and the owner stays known until the caller repeats a packet.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -52,6 +52,8 @@
         bounced_by: targets that bounced a packet of the flow.
         bounced_at: time of the last bounce, seconds, monotonic.
         searched: targets that packets were sent to in search of the owner.
+        searched_at: time at which a packet was last sent to more targets.
+        held_packets: packets that wait for the end of the search.
         first_search_at: time at which all targets had returned a packet in a
             first search for the owner, None if there was none.
         is_recheck_due: whether the search will be repeated.
@@ -78,6 +80,8 @@
     bounced_by: set[TargetId] = field(default_factory=set)
     bounced_at: float = 0.0
     searched: list[TargetId] = field(default_factory=list)
+    searched_at: float = 0.0
+    held_packets: list[bytes] = field(default_factory=list)
     first_search_at: float | None = None
     is_recheck_due: bool = False
     last_sequences: tuple[int, int] = (-1, -1)
--- a/jujuberun/owner_search.py
+++ b/jujuberun/owner_search.py
@@ -27,6 +27,10 @@
 # unknown. Asking 35 targets one after the other took over 2 s with busy
 # balancers, and packets of callers did not reach their target in time.
 SEARCH_BATCH_TARGETS = 6
+# Time in which targets that do not hold a flow return its packet.
+SEARCH_WAIT_S = 0.03
+# An end of a flow has at most this many packets in flight.
+MAX_HELD_PACKETS = 16
 
 
 class OwnerSearch:
@@ -65,7 +69,8 @@
         self._counts = counts
         self._log = log
         self._rechecks: deque[tuple[float, FlowEntry, Frame, bytes]] = deque()
-        self._rechecks_added = anyio.Event()
+        self._held: deque[tuple[float, FlowEntry]] = deque()
+        self._timers_changed = anyio.Event()
 
     def forward(self, frame: Frame, data: bytes, now: float) -> None:
         """Forwards a packet after the start of a flow."""
@@ -74,19 +79,53 @@
             entry = self._adopt(frame, now)
             if entry is None:
                 return
-        entry.expire_bounces(now)
         owner = self._find_owner(entry, frame)
         if owner is not None:
+            entry.expire_bounces(now)
             self._port.send_packet(data, owner)
             return
+        is_repeated = entry.record_and_check_repeat(frame)
+        searched = entry.list_search_targets()
+        if len(searched) == 1 and not is_repeated:
+            # All others returned the flow's packets.
+            self._send_to(searched[0], data)
+            return
+        if searched and not is_repeated and self._hold(entry, data, now):
+            return
+        entry.expire_bounces(now)
         searched = entry.list_search_targets()
         for target in searched:
             self._send_to(target, data)
         # A repeated packet was lost or has not reached the target that holds
         # its flow, so more targets are tried.
-        if entry.record_and_check_repeat(frame) or not searched:
+        if is_repeated or not searched:
             self._extend_search(entry, frame, data, now)
 
+    def _hold(self, entry: FlowEntry, data: bytes, now: float) -> bool:
+        """Keeps a packet for a moment while targets return the first one.
+
+        Sending each packet of an upload to all searched targets overloads the
+        link of a small VM.
+
+        Returns:
+            Whether the packet is kept.
+        """
+        is_recent = now - entry.searched_at < SEARCH_WAIT_S
+        if not is_recent or len(entry.held_packets) >= MAX_HELD_PACKETS:
+            return False
+        if not entry.held_packets:
+            self._held.append((entry.searched_at + SEARCH_WAIT_S, entry))
+            self._timers_changed.set()
+        entry.held_packets.append(data)
+        return True
+
+    def _release(self, entry: FlowEntry) -> None:
+        """Sends the kept packets to the targets that may still hold a flow."""
+        packets, entry.held_packets = entry.held_packets, []
+        for data in packets:
+            for target in entry.list_search_targets():
+                self._send_to(target, data)
+
     def _adopt(self, frame: Frame, now: float) -> FlowEntry | None:
         """Creates an entry for a flow that was opened at another balancer."""
         address = unpack_service(frame.key)
@@ -128,6 +167,7 @@
         """
         pools = self._list_pools(entry)
         excluded = entry.bounced_by.union(entry.searched)
+        entry.searched_at = now
         sent = 0
         for candidate in self._steering.list_possible_owners(
             pools, entry.key, now
@@ -190,7 +230,7 @@
     ) -> None:
         due = now + RECHECK_DELAY_S
         self._rechecks.append((due, entry, frame, data))
-        self._rechecks_added.set()
+        self._timers_changed.set()
 
     def _reset(
         self, entry: FlowEntry, frame: Frame, reason: str, now: float
@@ -222,21 +262,34 @@
         if owner is not None:
             self._port.send_packet(data, owner)
             return
-        if not entry.list_search_targets():
-            # If other searched targets remain, they already have a copy.
+        # The targets that have not returned the packet already have a copy.
+        remaining = entry.list_search_targets()
+        if len(remaining) == 1:
+            self._release(entry)
+        elif not remaining:
             self._extend_search(entry, frame, data, now)
 
     async def run_timers(self) -> None:
         """Repeats searches when they are due, until cancelled."""
         while True:
-            self._rechecks_added = anyio.Event()
-            wakeup_at = self._rechecks[0][0] if self._rechecks else math.inf
+            self._timers_changed = anyio.Event()
+            wakeup_at = min(
+                self._rechecks[0][0] if self._rechecks else math.inf,
+                self._held[0][0] if self._held else math.inf,
+            )
             with anyio.CancelScope(deadline=wakeup_at):
-                await self._rechecks_added.wait()
+                await self._timers_changed.wait()
             self.check_timers(anyio.current_time())
 
     def check_timers(self, now: float) -> None:
-        """Asks all targets again for the flows whose second search is due."""
+        """Sends kept packets, and repeats searches, that are due."""
+        while self._held and self._held[0][0] <= now:
+            _, entry = self._held.popleft()
+            if now - entry.searched_at < SEARCH_WAIT_S:
+                # More targets have been asked since.
+                self._held.append((entry.searched_at + SEARCH_WAIT_S, entry))
+                continue
+            self._release(entry)
         while self._rechecks and self._rechecks[0][0] <= now:
             _, entry, frame, data = self._rechecks.popleft()
             entry.is_recheck_due = False
--- a/tests/test_owner_search.py
+++ b/tests/test_owner_search.py
@@ -106,3 +106,22 @@
         self.assertEqual([1] * 90, [caller.answers for caller in callers])
         strays = sum(target.unknown_packets for target in fleet.targets)
         self.assertLessEqual(strays / 90, 8)
+
+    def test_an_upload_that_moved_is_not_multiplied(self):
+        # Guards against a link that is full of copies: each packet of a moved
+        # upload went to six targets, again after each second, and small VMs
+        # lost the confirmations of all starts.
+        fleet = Fleet(balancers=2, targets=60)
+        caller = Caller(fleet.net, 1)
+        caller.start(fleet.balancers[0])
+        fleet.net.run()
+        for _ in range(3):
+            for number in range(16):
+                caller.sequence += 1
+                caller.send_request(fleet.balancers[1], b"%16d" % number)
+            fleet.net.run(1.5)
+        owner = fleet.find_owner(caller)
+        self.assertEqual(48, len(owner.handled_requests))
+        strays = sum(target.unknown_packets for target in fleet.targets)
+        self.assertLessEqual(strays, 8)
+        self.assertEqual(48, caller.answers)
