Ask listed targets first, and go on after a repeated FIN

Targets that left are now asked last, and a repeated FIN extends the search. Test: test_a_silent_likely_target_does_not_hide_the_owner fails before.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -137,7 +137,8 @@
             self.last_sequences,
             (frame.sequence, frame.acknowledged),
         )
-        return self.last_sequences == before and frame.size > 0
+        expects_answer = frame.size > 0 or frame.closes
+        return self.last_sequences == before and expects_answer
 
     def list_search_targets(self) -> list[TargetId]:
         """Returns the searched targets that have not bounced a packet."""
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -202,8 +202,15 @@
             key: key of the flow.
             now: seconds, monotonic.
         """
-        found = [c for pool in pools for c in self._pools.get(pool, ())]
-        return _rank(found, key, len(found))
+        listed, removed = [], []
+        for pool in pools:
+            for candidate in self._pools.get(pool, ()):
+                is_listed = candidate.removed_at is None
+                (listed if is_listed else removed).append(candidate)
+        return [
+            *_rank(listed, key, len(listed)),
+            *_rank(removed, key, len(removed)),
+        ]
 
     def are_all_in_slow_start(
         self, pools: Collection[PoolId], now: float
--- a/tests/packetpath.py
+++ b/tests/packetpath.py
@@ -162,6 +162,7 @@
         self.net, self.host, self.pool = net, host, pool
         self.flows, self.handled_requests, self.unknown_packets = {}, [], 0
         self.rejects_starts = self.is_dead = False
+        self.closed = set()  # callers that sent a FIN
         self.work, self.slots, self.free_at = 0.0, 2, []
         self.address = (host, TARGET_PORT)
         self.outbound = (host, OUTBOUND_PORT)
@@ -207,6 +208,8 @@
                 CODEC.set_bounced(data), self.address, self.outbound
             )
             return
+        if frame.closes:
+            self.closed.add(caller)
         if frame.size:
             self.handled_requests.append((frame.key, data[32:]))
             delay = self.run_request()
@@ -273,6 +276,16 @@
         )
         self.net.enqueue(packet, ("router", 1), (balancer.host, PORT))
 
+    def close(self, balancer):
+        packet = pack(
+            self.address,
+            self.service,
+            FIN | ACK,
+            self.sequence + 1,
+            (self.accepted + 1) % 2**32,
+        )
+        self.net.enqueue(packet, ("router", 1), (balancer.host, PORT))
+
     def receive(self, frame):
         if frame.resets:
             self.resets += 1
--- a/tests/test_owner_search.py
+++ b/tests/test_owner_search.py
@@ -125,3 +125,28 @@
         strays = sum(target.unknown_packets for target in fleet.targets)
         self.assertLessEqual(strays, 8)
         self.assertEqual(48, caller.answers)
+
+    def test_a_silent_likely_target_does_not_hide_the_owner(self):
+        # Guards against a search that ends at a target that has left: an idle
+        # flow moved, its caller closed it, and the repeated FIN reached every
+        # target but its own for 3 s (further, quiet-1, score d6be30c9).
+        for number in range(9):
+            fleet = Fleet(balancers=2, targets=9)
+            owner = fleet.targets[number]
+            for target in fleet.targets:
+                target.rejects_starts = target is not owner
+            caller = Caller(fleet.net, 1)
+            caller.start(fleet.balancers[0])
+            fleet.net.run(0.3)
+            gone = [t for t in fleet.targets if t is not owner][:2]
+            fleet.vms = [
+                vm
+                for vm in fleet.vms
+                if vm.peer[0] not in {target.host for target in gone}
+            ]
+            fleet.distribute_config()
+            fleet.net.silent = {target.host for target in gone}
+            for _ in range(2):
+                caller.close(fleet.balancers[1])
+                fleet.net.run()
+            self.assertIn(caller.address, owner.closed)
