Confirm moved flows, and wait for confirmations as long as they take

And the search for the owner of a moved flow went on by elimination: a target that did not answer looked like the owner.

An agent that receives a packet of its flow from another balancer confirms the flow to it; packets that wait for the search go to the owner alone, or are dropped.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -90,6 +90,11 @@
     objective: float = 0.0
     start_delay: float = 0.0
 
+    @property
+    def began_elsewhere(self) -> bool:
+        """Whether another balancer received the start."""
+        return self.sequence < 0
+
     @property
     def is_accepted(self) -> bool:
         """Whether an agent has confirmed the start."""
--- a/jujuberun/owner_search.py
+++ b/jujuberun/owner_search.py
@@ -90,7 +90,8 @@
             # All others returned the flow's packets.
             self._send_to(searched[0], data)
             return
-        if searched and not is_repeated and self._hold(entry, data, now):
+        if searched and not is_repeated:
+            self._hold(entry, data, now)
             return
         entry.expire_bounces(now)
         searched = entry.list_search_targets()
@@ -101,30 +102,31 @@
         if is_repeated or not searched:
             self._extend_search(entry, frame, data, now)
 
-    def _hold(self, entry: FlowEntry, data: bytes, now: float) -> bool:
-        """Keeps a packet for a moment while targets return the first one.
+    def _hold(self, entry: FlowEntry, data: bytes, now: float) -> None:
+        """Keeps a packet for a moment while the owner is searched.
 
         Sending each packet of an upload to all searched targets overloads the
         link of a small VM.
-
-        Returns:
-            Whether the packet is kept.
         """
-        is_recent = now - entry.searched_at < SEARCH_WAIT_S
-        if not is_recent or len(entry.held_packets) >= MAX_HELD_PACKETS:
-            return False
+        if len(entry.held_packets) >= MAX_HELD_PACKETS:
+            return
         if not entry.held_packets:
-            self._held.append((entry.searched_at + SEARCH_WAIT_S, entry))
+            self._held.append((now + SEARCH_WAIT_S, entry))
             self._timers_changed.set()
         entry.held_packets.append(data)
-        return True
 
-    def _release(self, entry: FlowEntry) -> None:
-        """Sends the kept packets to the targets that may still hold a flow."""
+    def release(self, entry: FlowEntry) -> None:
+        """Sends the kept packets of a flow once its owner is known.
+
+        Without an owner they are dropped: the caller sends them again.
+        """
         packets, entry.held_packets = entry.held_packets, []
+        accepted = [o.target for o in entry.offers if o.sequence is not None]
+        owners = accepted[-1:] or entry.list_search_targets()
+        if len(owners) != 1:
+            return
         for data in packets:
-            for target in entry.list_search_targets():
-                self._send_to(target, data)
+            self._send_to(owners[0], data)
 
     def _adopt(self, frame: Frame, now: float) -> FlowEntry | None:
         """Creates an entry for a flow that was opened at another balancer."""
@@ -260,12 +262,14 @@
         """Sends a bounced packet other than a start to other targets."""
         owner = self._find_owner(entry, frame)
         if owner is not None:
-            self._port.send_packet(data, owner)
+            # An owner that was found by asking has a copy of the packet.
+            if owner.id not in entry.searched:
+                self._port.send_packet(data, owner)
             return
         # The targets that have not returned the packet already have a copy.
         remaining = entry.list_search_targets()
         if len(remaining) == 1:
-            self._release(entry)
+            self.release(entry)
         elif not remaining:
             self._extend_search(entry, frame, data, now)
 
@@ -289,7 +293,7 @@
                 # More targets have been asked since.
                 self._held.append((entry.searched_at + SEARCH_WAIT_S, entry))
                 continue
-            self._release(entry)
+            self.release(entry)
         while self._rechecks and self._rechecks[0][0] <= now:
             _, entry, frame, data = self._rechecks.popleft()
             entry.is_recheck_due = False
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -81,24 +81,25 @@
         self._flows = FlowTable(capacity)
         self._version: ManifestVersion | None = None
         self._services = ServiceMap()
-        self._dispatcher = StartDispatcher(
+        self._search = OwnerSearch(
             self._port,
             self._flows,
             self._steering,
-            peers,
-            generations,
+            self._services,
             members,
             self.counts,
             self._log,
         )
-        self._search = OwnerSearch(
+        self._dispatcher = StartDispatcher(
             self._port,
             self._flows,
             self._steering,
-            self._services,
+            peers,
+            generations,
             members,
             self.counts,
             self._log,
+            self._search.release,
         )
         peers.subscribe_pauses(lambda now: self._steering.clear_suspicions())
 
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -53,13 +53,14 @@
 
     Attributes:
         key: flow key: packed addresses of the caller and the service.
-        balancer: address of the balancer that sent the start.
+        balancer: address of the balancer that sent the last packet.
         used_at: time of the last packet.
         waiting_since: time since which the flow waits for an answer of the
             target, None if it does not wait.
         was_queued: whether all slots were busy when the flow began to wait.
         has_request: whether the caller has sent a packet after the start.
         accepted: whether the target has answered the start.
+        sequence: first sequence number of the target, once it has answered.
         caller_closed: whether the caller sends no more data.
         target_closed: whether the target sends no more data.
     """
@@ -71,6 +72,7 @@
     was_queued: bool = False
     has_request: bool = False
     accepted: bool = False
+    sequence: int = 0
     caller_closed: bool = False
     target_closed: bool = False
 
@@ -209,7 +211,7 @@
             if not self._admit(frame, sender, busy_limit, now):
                 return
         else:
-            self._record_request(frame, now)
+            self._record_request(frame, sender, now)
         self._last_packet_at = now
         balancer = int.from_bytes(inet_aton(sender[0]), "big")
         marked = self._codec.set_mark(data, balancer)
@@ -271,11 +273,20 @@
         self._add(SidecarFlow(frame.key, sender, now, now))
         return True
 
-    def _record_request(self, frame: Frame, now: float) -> None:
-        """Updates a flow after a packet of the caller other than the start."""
+    def _record_request(
+        self, frame: Frame, sender: Address, now: float
+    ) -> None:
+        """Updates a flow after a packet of the caller other than the start.
+
+        A balancer to which the network has moved the flow is told that its
+        owner is here.
+        """
         flow = self._flows.get(frame.key)
         if flow is None:
             return
+        if flow.balancer != sender and flow.accepted:
+            flow.balancer = sender
+            self._send_accepted(flow)
         flow.used_at = now
         self._flows.move_to_end(frame.key)
         if frame.size and (not flow.has_request or flow.waiting_since is None):
@@ -295,13 +306,8 @@
             flow.accepted = True
             self._half_open.append((now + MAX_REQUEST_DELAY_S, flow))
             self._release_half_open(now)
-            accepted = Accepted(
-                frame.key,
-                frame.sequence,
-                self._busy,
-                round(self._service_time * 1e6),
-            )
-            self._peers.send(accepted, self._find_peer(flow.balancer))
+            flow.sequence = frame.sequence
+            self._send_accepted(flow)
         if frame.size and flow.waiting_since is not None:
             self._answer_times.add(now - flow.waiting_since)
             if not flow.was_queued:
@@ -311,6 +317,16 @@
         if frame.resets or (flow.caller_closed and flow.target_closed):
             self._remove(flow)
 
+    def _send_accepted(self, flow: SidecarFlow) -> None:
+        """Tells the flow's balancer that the target holds the flow."""
+        accepted = Accepted(
+            flow.key,
+            flow.sequence,
+            self._busy,
+            round(self._service_time * 1e6),
+        )
+        self._peers.send(accepted, self._find_peer(flow.balancer))
+
     def _return_packet(self, frame: Frame, data: bytes) -> None:
         """Sends a packet that the target bounced back to its balancer."""
         self.counts["bounced"] += 1
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -2,11 +2,13 @@
 
 import math
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Any
 
 import anyio
 
 from jujuberun.addresses import format_address
+from jujuberun.confirmation_timeout import ConfirmationTimeout
 from jujuberun.decisions import DecisionLog
 from jujuberun.durations import Durations
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
@@ -22,10 +24,10 @@
     NoPlace,
     Place,
     find_place,
+    has_other_target,
 )
 from jujuberun.steering import (
     AGENT_RESTART_S,
-    CONFIRMATION_TIMEOUT_S,
     Steering,
     choose_pool,
 )
@@ -60,6 +62,7 @@
         members: Members,
         counts: Counter[str],
         log: DecisionLog,
+        release_packets: Callable[[FlowEntry], None],
     ) -> None:
         """Builds the dispatcher of one balancer.
 
@@ -72,7 +75,10 @@
             members: provides the index of the list of VMs that is logged.
             counts: event counters of the balancer.
             log: log for decisions of the balancer.
+            release_packets: sends the packets of a flow that wait for its
+                owner; called when an agent reports a flow that moved here.
         """
+        self._release_packets = release_packets
         self.start_times = Durations()
         self._port = port
         self._flows = flows
@@ -81,6 +87,7 @@
         self._members = members
         self._counts = counts
         self._log = log
+        self._timeout = ConfirmationTimeout()
         self._reports = LoadReports(steering, port.port_number, counts)
         self._unconfirmed: deque[tuple[float, FlowEntry, Offer]] = deque()
         self._waiting: dict[PoolId | None, WaitingStarts] = {}
@@ -174,7 +181,7 @@
         self._port.send_start(entry, candidate, busy_limit)
         if not self._unconfirmed:
             self._timers_changed.set()
-        self._unconfirmed.append((now + CONFIRMATION_TIMEOUT_S, entry, offer))
+        self._unconfirmed.append((now + self._timeout.seconds, entry, offer))
 
     def _hold_start(self, entry: FlowEntry, now: float) -> None:
         """Lets a start wait until a target has room."""
@@ -266,7 +273,13 @@
         if offer is None:
             offer = Offer(candidate.id, now)
             entry.offers.append(offer)
-        if offer.sequence is None:
+        elif offer.sequence is None:
+            self._timeout.record(now - offer.sent_at)
+        if entry.began_elsewhere:
+            # An agent reports a flow that the network has moved here.
+            offer.sequence = accepted.sequence
+            self._release_packets(entry)
+        elif offer.sequence is None:
             self.start_times.add(now - entry.first_seen_at)
             waiting = self._waiting.get(candidate.pool)
             if waiting is not None:
@@ -296,6 +309,9 @@
         if entry is None or candidate is None:
             return
         self._counts["declined"] += 1
+        offer = entry.find_offer(candidate.id)
+        if offer is not None and offer.sequence is None:
+            self._timeout.record(now - offer.sent_at)
         entry.offers = [
             o
             for o in entry.offers
@@ -311,7 +327,9 @@
             return
         if any(w.contains(entry) for w in self._waiting.values()):
             return
-        if declined.draining and not self._has_other_target(entry, now):
+        if declined.draining and not has_other_target(
+            entry, self._steering, now
+        ):
             # The agent restarts at once, and its target keeps running.
             self._hold_start(entry, now)
             return
@@ -329,13 +347,6 @@
             )
         self._steering.avoid_during_restart(candidate, now)
 
-    def _has_other_target(self, entry: FlowEntry, now: float) -> bool:
-        """Returns whether a target remains to which a start can be offered."""
-        tried = (offer.target for offer in entry.offers)
-        excluded = entry.bounced_by.union(entry.declined, tried)
-        pools, key = entry.pools, entry.key
-        return self._steering.choose(pools, key, excluded, now) is not None
-
     async def run_timers(self) -> None:
         """Checks offers and held starts when they are due, until cancelled."""
         while True:
--- a/jujuberun/start_placement.py
+++ b/jujuberun/start_placement.py
@@ -77,3 +77,16 @@
     if entry.decline_count >= MAX_FREE_SLOT_TRIES + MAX_QUEUE_TRIES:
         return NoPlace.NO_ROOM
     return Place(target, min(limit, NO_BUSY_LIMIT - 1))
+
+
+def has_other_target(entry: FlowEntry, steering: Steering, now: float) -> bool:
+    """Returns whether a target remains to which a start can be offered.
+
+    Args:
+        entry: flow of the start.
+        steering: knows the targets.
+        now: seconds, monotonic.
+    """
+    tried = (offer.target for offer in entry.offers)
+    excluded = entry.bounced_by.union(entry.declined, tried)
+    return steering.choose(entry.pools, entry.key, excluded, now) is not None
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -16,10 +16,6 @@
 from jujuberun.members import Vm, VmList
 from jujuberun.target_state import TargetState
 
-# A start that no agent confirms within this time is offered to another target.
-# It covers a round trip between failure domains (2 ms) and the additional delay
-# of a busy agent.
-CONFIRMATION_TIMEOUT_S = 0.06
 # Consecutive unconfirmed offers after which a target is suspected.
 OFFERS_TO_SUSPECT = 2
 # Each consecutive suspicion lasts twice as long as the one before.
--- a/tests/packetpath.py
+++ b/tests/packetpath.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
+from jujuberun.confirmation_timeout import MIN_TIMEOUT_S
 from jujuberun.first_packet import FirstPacket, FirstPacketRule
 from jujuberun.ids import DomainId, Generation, PoolId, Role, VmId, VmState
 from jujuberun.manifest import (
@@ -23,7 +24,6 @@
 from jujuberun.members import Registration, Vm, VmList
 from jujuberun.relay import Relay
 from jujuberun.sidecar import Sidecar
-from jujuberun.steering import CONFIRMATION_TIMEOUT_S
 
 sys.path.append(str(Path(__file__).parent.parent / "platform"))
 
@@ -359,7 +359,7 @@
         self.balancers[index] = balancer
         balancer.apply_config(self.services, self.vms, self.net.now)
 
-    def check_offers(self, seconds=CONFIRMATION_TIMEOUT_S + 0.01):
+    def check_offers(self, seconds=MIN_TIMEOUT_S + 0.01):
         """Advances past the confirmation timeout, then checks all offers."""
         self.net.run(seconds)
         for balancer in self.balancers:
--- a/tests/test_owner_search.py
+++ b/tests/test_owner_search.py
@@ -150,3 +150,23 @@
                 caller.close(fleet.balancers[1])
                 fleet.net.run()
             self.assertIn(caller.address, owner.closed)
+
+    def test_agent_tells_the_new_balancer_that_it_holds_the_flow(self):
+        # Guards against a search that takes a target that never answers for
+        # the owner, because it is the last one that has not returned a packet.
+        fleet = Fleet(balancers=2, targets=30)
+        caller = Caller(fleet.net, 1)
+        caller.start(fleet.balancers[0])
+        fleet.net.run()
+        caller.send_request(fleet.balancers[1])
+        fleet.net.run()
+        owner = fleet.find_owner(caller)
+        fleet.net.silent = {t.host for t in fleet.targets if t is not owner}
+        relay = fleet.balancers[1].relay
+        entry = next(iter(relay._flows._entries.values()))
+        self.assertTrue(entry.is_accepted)
+        for number in range(2, 6):
+            caller.sequence += 1
+            caller.send_request(fleet.balancers[1])
+            fleet.net.run()
+            self.assertEqual(number, caller.answers)
