--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -151,6 +151,16 @@
             target for target in self.searched if target not in self.bounced_by
         ]
 
+    def record_decline(self, target: TargetId) -> None:
+        """Records that an agent declined the start, which ends its offer."""
+        self.offers = [
+            offer
+            for offer in self.offers
+            if offer.target != target or offer.sequence is not None
+        ]
+        self.declined.add(target)
+        self.decline_count += 1
+
     def record_bounce(self, target: TargetId, now: float) -> None:
         """Records that a target bounced a packet of the flow."""
         self.bounced_by.add(target)
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -14,7 +14,7 @@
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
 from jujuberun.frames import NO_BUSY_LIMIT, Frame, unpack_caller
 from jujuberun.generations import Generations
-from jujuberun.ids import Address, PoolId
+from jujuberun.ids import Address
 from jujuberun.load_reports import LoadReports
 from jujuberun.members import Members
 from jujuberun.packetport import PacketPort
@@ -32,7 +32,7 @@
     choose_pool,
 )
 from jujuberun.target_state import TargetState
-from jujuberun.waiting_starts import WaitingStarts
+from jujuberun.waiting_starts import WaitingRooms
 from jujuberun.wire import Accepted, Declined
 
 # Interval at which waiting starts are offered again; targets need a multiple of
@@ -90,7 +90,7 @@
         self._timeout = ConfirmationTimeout()
         self._reports = LoadReports(steering, port.port_number, counts)
         self._unconfirmed: deque[tuple[float, FlowEntry, Offer]] = deque()
-        self._waiting: dict[PoolId | None, WaitingStarts] = {}
+        self._waiting = WaitingRooms()
         self._next_round_at = math.inf
         self._timers_changed = anyio.Event()
         peers.register(Accepted, self._handle_accepted)
@@ -118,11 +118,11 @@
     @property
     def has_waiting_starts(self) -> bool:
         """Whether a start waits for room at a target."""
-        return any(map(len, self._waiting.values()))
+        return self._waiting.has_starts
 
     def refuse_waiting_starts(self, now: float) -> None:
         """Refuses all waiting starts, because the balancer ends."""
-        for waiting in self._waiting.values():
+        for _, waiting in self._waiting.list_pools():
             for entry in waiting.list_in_order(0.0, now):
                 waiting.remove(entry)
                 self._refuse_start(entry, "the balancer stops", now)
@@ -131,9 +131,8 @@
         """Offers a start to the next target, or holds or refuses it."""
         if not entry.hold_count:
             pool = choose_pool(entry.pools, entry.key)
-            waiting = self._waiting.get(pool)
             service_time = self._steering.find_service_time(pool, now)
-            if waiting and waiting.has_precedence(entry, service_time, now):
+            if self._waiting.has_precedence(pool, entry, service_time, now):
                 self._hold_start(entry, now)
                 return
         if len(entry.offers) >= MAX_OFFERED_TARGETS:
@@ -200,15 +199,14 @@
         # offer for a free slot is enough.
         entry.decline_count = MAX_FREE_SLOT_TRIES - 1
         entry.hold_count += 1
-        pool = choose_pool(entry.pools, entry.key)
-        self._waiting.setdefault(pool, WaitingStarts()).add(entry)
+        self._waiting.add(choose_pool(entry.pools, entry.key), entry)
         if self._next_round_at == math.inf:
             self._next_round_at = now + ROUND_INTERVAL_S
             self._timers_changed.set()
 
     def _run_round(self, now: float) -> None:
         """Offers the waiting starts of each pool again, in their order."""
-        for pool, waiting in self._waiting.items():
+        for pool, waiting in self._waiting.list_pools():
             service_time = self._steering.find_service_time(pool, now)
             ordered = waiting.list_in_order(service_time, now)
             misses = 0
@@ -228,9 +226,8 @@
                     waiting.remove(entry)
                     reason = "no target has room before its caller gives up"
                     self._refuse_start(entry, reason, now)
-        self._next_round_at = (
-            now + ROUND_INTERVAL_S if self.has_waiting_starts else math.inf
-        )
+        has_more = self.has_waiting_starts
+        self._next_round_at = now + ROUND_INTERVAL_S if has_more else math.inf
 
     def _refuse_start(self, entry: FlowEntry, reason: str, now: float) -> None:
         """Refuses a start unless a target has accepted or may still accept it.
@@ -281,9 +278,7 @@
             self._release_packets(entry)
         elif offer.sequence is None:
             self.start_times.add(now - entry.first_seen_at)
-            waiting = self._waiting.get(candidate.pool)
-            if waiting is not None:
-                waiting.record_placement(now)
+            self._waiting.record_placement(candidate.pool, now)
             self._log.write(
                 "start accepted",
                 now,
@@ -312,20 +307,14 @@
         offer = entry.find_offer(candidate.id)
         if offer is not None and offer.sequence is None:
             self._timeout.record(now - offer.sent_at)
-        entry.offers = [
-            o
-            for o in entry.offers
-            if o.target != candidate.id or o.sequence is not None
-        ]
-        entry.declined.add(candidate.id)
-        entry.decline_count += 1
+        entry.record_decline(candidate.id)
         if declined.draining:
             self._avoid_stopping_agent(candidate, now)
         if entry.start_packet is None or entry.is_accepted:
             return
         if any(not offer.timed_out for offer in entry.offers):
             return
-        if any(w.contains(entry) for w in self._waiting.values()):
+        if self._waiting.contains(entry):
             return
         if declined.draining and not has_other_target(
             entry, self._steering, now
--- a/jujuberun/waiting_starts.py
+++ b/jujuberun/waiting_starts.py
@@ -5,8 +5,10 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 
 from jujuberun.flowtable import FlowEntry
+from jujuberun.ids import PoolId
 
 # Placements of this period give the rate from which waits are estimated.
 RATE_PERIOD_S = 1.0
@@ -111,3 +113,45 @@
     def _forget_placements(self, now: float) -> None:
         while self._placed_at and now - self._placed_at[0] > RATE_PERIOD_S:
             self._placed_at.popleft()
+
+
+class WaitingRooms:
+    """The waiting starts of all pools."""
+
+    def __init__(self) -> None:
+        self._pools: dict[PoolId | None, WaitingStarts] = {}
+
+    @property
+    def has_starts(self) -> bool:
+        """Whether any start waits."""
+        return any(map(len, self._pools.values()))
+
+    def add(self, pool: PoolId | None, entry: FlowEntry) -> None:
+        """Adds a start that waits for a target of a pool."""
+        self._pools.setdefault(pool, WaitingStarts()).add(entry)
+
+    def contains(self, entry: FlowEntry) -> bool:
+        """Returns whether a start waits."""
+        return any(waiting.contains(entry) for waiting in self._pools.values())
+
+    def list_pools(self) -> Iterable[tuple[PoolId | None, WaitingStarts]]:
+        """Returns each pool with its waiting starts."""
+        return self._pools.items()
+
+    def has_precedence(
+        self,
+        pool: PoolId | None,
+        entry: FlowEntry,
+        service_time: float,
+        now: float,
+    ) -> bool:
+        """Returns whether a start of the pool is placed before a new one."""
+        waiting = self._pools.get(pool)
+        return waiting is not None and waiting.has_precedence(
+            entry, service_time, now
+        )
+
+    def record_placement(self, pool: PoolId | None, now: float) -> None:
+        """Records that a target of a pool accepted a start."""
+        if pool in self._pools:
+            self._pools[pool].record_placement(now)
