Confirm a moved flow only if its caller acknowledges bytes of it

A caller that uses its port again for a flow at another target would have had its packets sent to the target of the old one.

--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -15,6 +15,7 @@
     NO_BUSY_LIMIT,
     Frame,
     FrameCodec,
+    compute_sequence_distance,
     make_tag,
     split_mark,
     unpack_caller,
@@ -43,6 +44,8 @@
 # becomes slow is noticed after about ten answers.
 SERVICE_TIME_WEIGHT = 0.1
 MAX_FLOWS = 100_000
+# A caller that acknowledges more bytes uses its port again for another flow.
+MAX_FLOW_BYTES = 1 << 26
 
 _log = make_logger("sidecar")
 
@@ -278,13 +281,14 @@
     ) -> None:
         """Updates a flow after a packet of the caller other than the start.
 
-        A balancer to which the network has moved the flow is told that its
-        owner is here.
+        Confirms the flow to a balancer to which the network has moved it.
         """
         flow = self._flows.get(frame.key)
         if flow is None:
             return
-        if flow.balancer != sender and flow.accepted:
+        received = compute_sequence_distance(flow.sequence, frame.acknowledged)
+        is_moved = flow.balancer != sender and flow.accepted
+        if is_moved and received < MAX_FLOW_BYTES:
             flow.balancer = sender
             self._send_accepted(flow)
         flow.used_at = now
--- a/tests/test_owner_search.py
+++ b/tests/test_owner_search.py
@@ -208,3 +208,16 @@
             caller.send_request(fleet.balancers[0])
             fleet.net.run()
         self.assertGreater(caller.answers, 0)
+
+    def test_agent_does_not_confirm_a_flow_that_used_the_port_before(self):
+        # Guards against packets of a new flow that go to the target of an old
+        # one, because the caller uses its port again.
+        fleet = Fleet(balancers=2, targets=9)
+        caller = Caller(fleet.net, 1)
+        caller.start(fleet.balancers[0])
+        fleet.net.run()
+        caller.accepted = (caller.accepted + (1 << 30)) % 2**32
+        caller.send_request(fleet.balancers[1])
+        fleet.net.run()
+        entry = next(iter(fleet.balancers[1].relay._flows._entries.values()))
+        self.assertFalse(entry.is_accepted)
