--- a/jujuberun/owner_search.py
+++ b/jujuberun/owner_search.py
@@ -74,9 +74,7 @@
         self._log = log
         self._rechecks: deque[tuple[float, FlowEntry, Frame, bytes]] = deque()
         self._held: deque[tuple[float, FlowEntry]] = deque()
-        self._unconfirmed_searches: deque[
-            tuple[float, FlowEntry, Frame, bytes]
-        ] = deque()
+        self._advances: deque[tuple[float, FlowEntry, Frame, bytes]] = deque()
         self._timers_changed = anyio.Event()
 
     def forward(self, frame: Frame, data: bytes, now: float) -> None:
@@ -94,8 +92,6 @@
             if entry.repeats >= MAX_REPEATS:
                 # Another target may have opened the flow, and its confirmation
                 # was lost.
-                if owner.id not in entry.searched:
-                    entry.searched.append(owner.id)
                 self._extend_search(entry, frame, data, now)
             return
         searched = entry.list_search_targets()
@@ -183,8 +179,7 @@
         pools = self._list_pools(entry)
         excluded = entry.bounced_by.union(entry.searched)
         entry.searched_at = now
-        due = now + ADVANCE_DELAY_S
-        self._unconfirmed_searches.append((due, entry, frame, data))
+        self._advances.append((now + ADVANCE_DELAY_S, entry, frame, data))
         self._timers_changed.set()
         sent = 0
         for candidate in self._steering.list_possible_owners(
@@ -198,10 +193,20 @@
             if sent == SEARCH_BATCH_TARGETS:
                 return
         if not sent:
-            self._unconfirmed_searches.pop()
+            self._advances.pop()
         if not sent and not entry.list_search_targets():
             self._handle_lost_flow(entry, frame, data, now)
 
+    def _advance_search(
+        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
+    ) -> None:
+        """Asks more targets while no agent has confirmed the flow.
+
+        A target that left or is cut off neither returns a packet nor confirms.
+        """
+        if entry.list_search_targets():
+            self._extend_search(entry, frame, data, now)
+
     def _handle_lost_flow(
         self, entry: FlowEntry, frame: Frame, data: bytes, now: float
     ) -> None:
@@ -298,9 +303,7 @@
             wakeup_at = min(
                 self._rechecks[0][0] if self._rechecks else math.inf,
                 self._held[0][0] if self._held else math.inf,
-                self._unconfirmed_searches[0][0]
-                if self._unconfirmed_searches
-                else math.inf,
+                self._advances[0][0] if self._advances else math.inf,
             )
             with anyio.CancelScope(deadline=wakeup_at):
                 await self._timers_changed.wait()
@@ -315,17 +318,11 @@
                 self._held.append((entry.searched_at + SEARCH_WAIT_S, entry))
                 continue
             self.release(entry)
-        while (
-            self._unconfirmed_searches
-            and self._unconfirmed_searches[0][0] <= now
-        ):
-            due, entry, frame, data = self._unconfirmed_searches.popleft()
+        while self._advances and self._advances[0][0] <= now:
+            due, entry, frame, data = self._advances.popleft()
             is_last = entry.searched_at + ADVANCE_DELAY_S <= due
-            # A target that left or is cut off neither returns the packet nor
-            # confirms the flow, so more targets are asked.
-            is_open = not entry.is_accepted and entry.list_search_targets()
-            if is_last and is_open:
-                self._extend_search(entry, frame, data, now)
+            if is_last and not entry.is_accepted and entry.searched:
+                self._advance_search(entry, frame, data, now)
         while self._rechecks and self._rechecks[0][0] <= now:
             _, entry, frame, data = self._rechecks.popleft()
             entry.is_recheck_due = False
