Revert "Let a search for the owner of a flow go on without the caller"

Asking more targets every 60 ms, when the confirmation is only late, multiplies packets on links that are full already.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -59,7 +59,6 @@
         is_recheck_due: whether the search will be repeated.
         last_sequences: sequence and acknowledged number of the caller's last
             packet.
-        repeats: how often the caller has repeated its last packet.
         was_reset: whether the caller was sent a reset for the start.
         urgency: urgency class of the service; lower values go first.
         objective: seconds within which the caller expects an answer.
@@ -86,7 +85,6 @@
     first_search_at: float | None = None
     is_recheck_due: bool = False
     last_sequences: tuple[int, int] = (-1, -1)
-    repeats: int = 0
     was_reset: bool = False
     urgency: int = Urgency.NORMAL
     objective: float = 0.0
@@ -136,8 +134,7 @@
                     offer.sequence, frame.acknowledged
                 ),
             ).target
-        awaited = [offer for offer in open_offers if not offer.timed_out]
-        return awaited[-1].target if awaited else None
+        return open_offers[-1].target if open_offers else None
 
     def record_and_check_repeat(self, frame: Frame) -> bool:
         """Records a packet; returns whether it repeats the one before."""
@@ -146,9 +143,7 @@
             (frame.sequence, frame.acknowledged),
         )
         expects_answer = frame.size > 0 or frame.closes
-        is_repeated = self.last_sequences == before and expects_answer
-        self.repeats = self.repeats + 1 if is_repeated else 0
-        return is_repeated
+        return self.last_sequences == before and expects_answer
 
     def list_search_targets(self) -> list[TargetId]:
         """Returns the searched targets that have not bounced a packet."""
--- a/jujuberun/owner_search.py
+++ b/jujuberun/owner_search.py
@@ -29,10 +29,6 @@
 SEARCH_BATCH_TARGETS = 6
 # Time in which targets that do not hold a flow return its packet.
 SEARCH_WAIT_S = 0.03
-# Time after which more targets are asked if no agent has confirmed the flow.
-ADVANCE_DELAY_S = 0.06
-# A caller that repeats a packet so often gets no answer from the known owner.
-MAX_REPEATS = 2
 # An end of a flow has at most this many packets in flight.
 MAX_HELD_PACKETS = 16
 
@@ -74,7 +70,6 @@
         self._log = log
         self._rechecks: deque[tuple[float, FlowEntry, Frame, bytes]] = deque()
         self._held: deque[tuple[float, FlowEntry]] = deque()
-        self._advances: deque[tuple[float, FlowEntry, Frame, bytes]] = deque()
         self._timers_changed = anyio.Event()
 
     def forward(self, frame: Frame, data: bytes, now: float) -> None:
@@ -84,16 +79,12 @@
             entry = self._adopt(frame, now)
             if entry is None:
                 return
-        is_repeated = entry.record_and_check_repeat(frame)
         owner = self._find_owner(entry, frame)
         if owner is not None:
             entry.expire_bounces(now)
             self._port.send_packet(data, owner)
-            if entry.repeats >= MAX_REPEATS:
-                # Another target may have opened the flow, and its confirmation
-                # was lost.
-                self._extend_search(entry, frame, data, now)
             return
+        is_repeated = entry.record_and_check_repeat(frame)
         searched = entry.list_search_targets()
         if len(searched) == 1 and not is_repeated:
             # All others returned the flow's packets.
@@ -179,8 +170,6 @@
         pools = self._list_pools(entry)
         excluded = entry.bounced_by.union(entry.searched)
         entry.searched_at = now
-        self._advances.append((now + ADVANCE_DELAY_S, entry, frame, data))
-        self._timers_changed.set()
         sent = 0
         for candidate in self._steering.list_possible_owners(
             pools, entry.key, now
@@ -192,21 +181,9 @@
             sent += 1
             if sent == SEARCH_BATCH_TARGETS:
                 return
-        if not sent:
-            self._advances.pop()
         if not sent and not entry.list_search_targets():
             self._handle_lost_flow(entry, frame, data, now)
 
-    def _advance_search(
-        self, entry: FlowEntry, frame: Frame, data: bytes, now: float
-    ) -> None:
-        """Asks more targets while no agent has confirmed the flow.
-
-        A target that left or is cut off neither returns a packet nor confirms.
-        """
-        if entry.list_search_targets():
-            self._extend_search(entry, frame, data, now)
-
     def _handle_lost_flow(
         self, entry: FlowEntry, frame: Frame, data: bytes, now: float
     ) -> None:
@@ -303,7 +280,6 @@
             wakeup_at = min(
                 self._rechecks[0][0] if self._rechecks else math.inf,
                 self._held[0][0] if self._held else math.inf,
-                self._advances[0][0] if self._advances else math.inf,
             )
             with anyio.CancelScope(deadline=wakeup_at):
                 await self._timers_changed.wait()
@@ -318,11 +294,6 @@
                 self._held.append((entry.searched_at + SEARCH_WAIT_S, entry))
                 continue
             self.release(entry)
-        while self._advances and self._advances[0][0] <= now:
-            due, entry, frame, data = self._advances.popleft()
-            is_last = entry.searched_at + ADVANCE_DELAY_S <= due
-            if is_last and not entry.is_accepted and entry.searched:
-                self._advance_search(entry, frame, data, now)
         while self._rechecks and self._rechecks[0][0] <= now:
             _, entry, frame, data = self._rechecks.popleft()
             entry.is_recheck_due = False
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -207,7 +207,7 @@
             "address": format_address(service.address),
             "generation": self._version.manifest.generation,
             "chosen": None if chosen is None else chosen.id,
-            "reason": "least expected wait, then the own failure domain",
+            "reason": "least expected wait among the flow's likely targets",
             "targets": self._steering.describe(now),
         }
 
