--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -113,7 +113,8 @@
                 # The target accepted, but its answer did not reach the caller.
                 self._port.send_start(entry, candidate, NO_BUSY_LIMIT)
                 return
-        self.offer(entry, now)
+        if not self._waiting.contains(entry):
+            self.offer(entry, now)
 
     @property
     def has_waiting_starts(self) -> bool:
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -142,6 +142,19 @@
         ports = {int.from_bytes(key[4:6], "big") for key in ran}
         self.assertEqual([], [c for c in refused if c.address[1] in ports])
 
+    def test_a_copy_of_a_start_that_waits_is_not_offered_beside_it(self):
+        # Guards against slots that two targets keep for one caller, while
+        # confirmations are slow: the next round would offer the start again.
+        fleet = LoadReplay(balancers=1, targets=2).fleet
+        for target in fleet.targets:
+            target.sidecar.draining = True
+        caller = Caller(fleet.net, 1)
+        caller.start(fleet.balancers[0])
+        fleet.net.run(0.7)
+        caller.start(fleet.balancers[0], copy=1)
+        fleet.net.run(0.0015)
+        self.assertEqual([], fleet.net.queue)
+
     def test_a_flood_of_starts_does_not_become_a_flood_of_offers(self):
         replay = LoadReplay(balancers=4, targets=7)
         replay.run(3.0, {ADDRESS: 3 * replay.capacity})
