--- a/jujuberun/confirmation_timeout.py
+++ b/jujuberun/confirmation_timeout.py
@@ -2,7 +2,7 @@
 
 # Covers a round trip between failure domains and the delay of a busy agent.
 MIN_TIMEOUT_S = 0.06
-# Bounds the time that a start loses to an agent that is gone.
+# A start that waits longer than this misses its caller's objective anyway.
 MAX_TIMEOUT_S = 0.3
 # Weights and factor of the retransmission timer of TCP (RFC 6298).
 _MEAN_WEIGHT = 1 / 8
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -35,7 +35,8 @@
 from jujuberun.waiting_starts import WaitingRooms
 from jujuberun.wire import Accepted, Declined
 
-# Interval at which waiting starts are offered again.
+# Interval at which waiting starts are offered again; targets need a multiple of
+# it for an answer.
 ROUND_INTERVAL_S = 0.015
 # After so many waiting starts of a pool found no room, the others wait too.
 MAX_MISSES_PER_ROUND = 3
@@ -223,10 +224,9 @@
                     self.offer(entry, now)
                     misses += entry.hold_count > holds
                 elif waiting.is_hopeless(position, time_left, now):
+                    waiting.remove(entry)
                     reason = "no target has room before its caller gives up"
                     self._refuse_start(entry, reason, now)
-                    if entry.was_reset:
-                        waiting.remove(entry)
         has_more = self.has_waiting_starts
         self._next_round_at = now + ROUND_INTERVAL_S if has_more else math.inf
 
