--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,101 +1,114 @@
-"""CONFIG: connections to the store go silent during changes of routes."""
+"""DRAIN: an entry of another writer stands among the registrations."""
 
 import asyncio
-import random
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins.callers import Caller
-from standins.fleet import (
-    CONFIG_APPLY_S,
-    STABLE_WINDOW_S,
-    Fleet,
-    run_case,
-)
+from standins.fleet import DRAIN_S, Fleet, run_case
 from standins.record import Record
 
 SERVICE = "orders"
-KEPT_ROUTE, DROPPED_ROUTE = "198.18.0.1", "198.18.0.2"
-# The changes of a config_storm, and when the connections go silent in it.
-STORM_S, STORM_GAP_S = 4.0, 0.33
-FIRST_SILENCE_S, LAST_SILENCE_S = 0.5, 3.0
+ROUTE_HOST = "198.18.0.1"
+TARGETS = 3
+# The entry names a service that is in no configuration, by a very long text.
+# Values of the store have at most 1,048,576 bytes.
+OTHER_SERVICE = "x" * 1_000_000
+RELEASE_GAP_S = 1.0
+# From the report that a target drains to its end.
+SERVED_S = 6.0
 REQUEST_PERIOD_S = 0.05
 REQUEST_LIMIT_S = 2.0
-WATCHED_S = 9.0
-# Added to both bounds, because the clocks of the stand-ins are read in turn.
-MARGIN_S = 0.05
+WATCHED_S = 12.0
+LAST_REQUESTS = 20
 
 
 async def play(fleet: Fleet, record: Record, has_trouble: bool) -> None:
     """Plays the case."""
-    routes = {
-        "r-kept": (KEPT_ROUTE, SERVICE),
-        "r-dropped": (DROPPED_ROUTE, SERVICE),
-    }
-    fleet.publish(routes)
-    await fleet.start({SERVICE: 4}, balancers=3)
+    fleet.publish({"r-orders": (ROUTE_HOST, SERVICE)})
+    await fleet.start({SERVICE: TARGETS}, balancers=3)
     if not await fleet.wait_ready():
         raise RuntimeError("the balancers are not ready")
-    await asyncio.sleep(2.0)
-    began = record.read_time()
-    silent_at = began + random.uniform(FIRST_SILENCE_S, LAST_SILENCE_S)
-    storm = asyncio.create_task(change_often(fleet, routes, silent_at))
-    await asyncio.sleep(silent_at - record.read_time())
+    await asyncio.sleep(1.0)
     if has_trouble:
-        for proxy in fleet.proxies:
-            count = proxy.silence()
-            record.write(f"{count} connections to the store go silent")
-    removed_at = await storm
-    bound = removed_at + CONFIG_APPLY_S
-    if has_trouble:
-        bound = max(bound, silent_at + STABLE_WINDOW_S)
-    bound += MARGIN_S
-    record.write(f"from {bound:.3f} on, the removed route must not be served")
+        write_other_entry(fleet)
+    await asyncio.sleep(1.0)
+    release = asyncio.create_task(release_targets(fleet))
     caller = fleet.make_caller(1)
+    end = record.read_time() + WATCHED_S
     requests = []
-    while record.read_time() < silent_at + WATCHED_S:
-        requests.append(asyncio.create_task(check(record, caller, bound)))
+    while record.read_time() < end:
+        requests.append(asyncio.create_task(send_request(caller)))
         await asyncio.sleep(REQUEST_PERIOD_S)
-    await asyncio.gather(*requests)
-
-
-async def change_often(
-    fleet: Fleet, routes: dict[str, tuple[str, str]], silent_at: float
-) -> float:
-    """Publishes versions in quick succession.
-
-    Each adds a route. The first one after a given time removes a route.
-
-    Returns:
-        Time of the confirmation of that removal.
-    """
-    routes = dict(routes)
-    removed_at = 0.0
-    for number in range(round(STORM_S / STORM_GAP_S)):
-        routes[f"idle-{number}"] = (f"198.18.9.{number + 1}", SERVICE)
-        if not removed_at and fleet.record.read_time() > silent_at:
-            del routes["r-dropped"]
-            removed_at = fleet.record.read_time()
-        fleet.publish(routes)
-        await asyncio.sleep(STORM_GAP_S)
-    return removed_at
-
-
-async def check(record: Record, caller: Caller, bound: float) -> None:
-    """Sends a request over the removed route; it must not run late."""
-    sent_at = record.read_time()
-    flow = caller.make_flow((DROPPED_ROUTE, 443))
+    await asyncio.gather(release, *requests)
+    answers = await asyncio.gather(
+        *(send_request(caller) for _ in range(LAST_REQUESTS))
+    )
+    record.write(
+        f"after the release, {sum(answers)} of {LAST_REQUESTS} requests are "
+        f"served; {len(fleet.targets)} targets are ready and registered"
+    )
+
+
+def write_other_entry(fleet: Fleet) -> None:
+    """Writes an entry that names no target of this fleet."""
+    fleet.store.put(
+        "servers/other",
+        {
+            "Service": OTHER_SERVICE,
+            "Address": f"{fleet.store.address[0]}:9999",
+            "Zone": "zone-a",
+            "Version": "v1",
+            "Slots": 1,
+            "State": "ready",
+            "WarmupLeftMs": 0,
+            "Seq": 1,
+            "born": 1_796_000_000_000,
+        },
+    )
+    fleet.record.write("another writer writes servers/other")
+
+
+async def release_targets(fleet: Fleet) -> None:
+    """Replaces the targets one after the other; the new one starts first."""
+    leaving = []
+    for number, name in enumerate(list(fleet.targets), TARGETS + 1):
+        fleet.add_target(f"i-{number:04x}", SERVICE, number)
+        leaving.append(asyncio.create_task(remove_target(fleet, name)))
+        await asyncio.sleep(RELEASE_GAP_S)
+    await asyncio.gather(*leaving)
+
+
+async def remove_target(fleet: Fleet, name: str) -> None:
+    """Lets a target drain, and ends it; checks which flows opened there."""
+    target = fleet.targets[name]
+    target.is_draining = True
+    fleet.register(target)
+    drained_at = fleet.record.read_time()
+    fleet.record.write(f"{name} is draining; the store has confirmed it")
+    await asyncio.sleep(SERVED_S)
+    for flow in target.flows.values():
+        if flow.is_open and flow.opened_at > drained_at + DRAIN_S:
+            fleet.record.violate(
+                f"DRAIN: a flow of {flow.start.source[1]} opened at {name} at "
+                f"{flow.opened_at:.3f}; it is draining since {drained_at:.3f}"
+            )
+    del fleet.targets[name]
+    target.crash()
+    fleet.store.remove(f"servers/{name}")
+    await fleet.stop_agent(target.host)
+
+
+async def send_request(caller: Caller) -> bool:
+    """Sends a request in a flow of its own; returns whether it is served."""
+    flow = caller.make_flow((ROUTE_HOST, 443))
     if not await caller.open(flow):
-        return
-    attempt, answer = await caller.request(flow, REQUEST_LIMIT_S)
+        return False
+    _, answer = await caller.request(flow, REQUEST_LIMIT_S)
     caller.close(flow)
-    if answer is not None and sent_at > bound:
-        record.violate(
-            f"CONFIG: {attempt}, whose flow was opened by a packet sent at "
-            f"{sent_at:.3f}, ran over a removed route"
-        )
+    return answer is not None
 
 
 if __name__ == "__main__":
