--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 from standins.record import Record
 
 OLD_SERVICE, NEW_SERVICE = "orders", "orders-next"
-ROUTE_HOST = "198.18.0.1"
+ROUTE_HOST = "127.251.0.1"
 FLOWS = 12
 REQUEST_PERIOD_S = 0.5
 REQUEST_LIMIT_S = 6.0
