--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,12 +11,13 @@
 from standins.record import Record
 
 SERVICE, OTHER_SERVICE = "tally-desk", "mail-v13"
-ROUTE_HOST, OTHER_HOST = "198.18.0.1", "198.18.0.2"
-REUSED_TARGET, REUSED_NUMBER = "i-0001", 1
+ROUTE_HOST, OTHER_HOST = "127.251.0.1", "127.251.0.2"
+# Targets that end, with the numbers of their machines.
+REUSED = {"i-0001": 1, "i-0002": 2}
 ADDRESS_REUSE_S = 2.0
 # The entry of a silent target is removed after three check-in intervals.
 EXPIRY_S = 3 * HEARTBEAT_S
-REQUEST_PERIOD_S = 0.02
+REQUEST_PERIOD_S = 0.015
 REQUEST_LIMIT_S = 2.0
 WATCHED_S = 9.0
 REPLACED_AT_S = 3.0
@@ -30,7 +31,7 @@
             "r-mail": (OTHER_HOST, OTHER_SERVICE),
         }
     )
-    await fleet.start({SERVICE: 3, OTHER_SERVICE: 2}, balancers=5)
+    await fleet.start({SERVICE: 8, OTHER_SERVICE: 4}, balancers=5)
     if not await fleet.wait_ready():
         raise RuntimeError("the balancers are not ready")
     caller = fleet.make_caller(1)
@@ -40,7 +41,9 @@
     while record.read_time() < began + WATCHED_S:
         elapsed = record.read_time() - began
         if has_trouble and replacement is None and elapsed > REPLACED_AT_S:
-            replacement = asyncio.create_task(replace_target(fleet))
+            replacement = asyncio.gather(
+                *(replace_target(fleet, name) for name in REUSED)
+            )
         for host, service in (
             (ROUTE_HOST, SERVICE),
             (OTHER_HOST, OTHER_SERVICE),
@@ -53,23 +56,23 @@
         await replacement
 
 
-async def replace_target(fleet: Fleet) -> None:
+async def replace_target(fleet: Fleet, name: str) -> None:
     """Ends a machine for good; its address goes to the other service."""
-    target = fleet.targets.pop(REUSED_TARGET)
+    target = fleet.targets.pop(name)
     target.crash()
     fleet.kill_agent(target.host)
-    expiry = asyncio.create_task(expire(fleet))
+    expiry = asyncio.create_task(expire(fleet, name))
     await asyncio.sleep(ADDRESS_REUSE_S)
     fleet.record.write(f"{target.host} is used again by {OTHER_SERVICE}")
-    fleet.add_target("i-00ff", OTHER_SERVICE, REUSED_NUMBER)
+    fleet.add_target(f"{name}-next", OTHER_SERVICE, REUSED[name])
     await expiry
 
 
-async def expire(fleet: Fleet) -> None:
+async def expire(fleet: Fleet, name: str) -> None:
     """Removes the entry of the silent target from the store."""
     await asyncio.sleep(EXPIRY_S)
-    fleet.store.remove(f"servers/{REUSED_TARGET}")
-    fleet.record.write(f"the entry of {REUSED_TARGET} expires")
+    fleet.store.remove(f"servers/{name}")
+    fleet.record.write(f"the entry of {name} expires")
 
 
 async def check(
