--- a/jujuberun/events/__init__.py
+++ b/jujuberun/events/__init__.py
@@ -171,6 +171,18 @@
         "A TCP connection of a peer was refused.",
         "Expected after a large outage; otherwise report a fault.",
     ),
+    Event(
+        "generations",
+        "refused",
+        "A manifest was refused; the one in force stays.",
+        "Read the reason in the log and publish a valid manifest.",
+    ),
+    Event(
+        "members",
+        "refused",
+        "A VM list was refused; the one in force stays.",
+        "Read the reason in the log.",
+    ),
     Event("spread", "sent", "A status message was sent to a peer.", NO_ACTION),
     Event(
         "spread", "received", "A status message arrived from a peer.", NO_ACTION
--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -75,6 +75,7 @@
         start_delay: seconds from the caller's first start packet to the copy
             that reached this balancer first.
         terms: what the start is worth, None if its service does not state it.
+        generation: generation of the manifest that the pools are from.
     """
 
     key: bytes
@@ -99,6 +100,7 @@
     objective: float = 0.0
     start_delay: float = 0.0
     terms: StartTerms | None = None
+    generation: int = 0
 
     @property
     def began_elsewhere(self) -> bool:
--- a/jujuberun/generations.py
+++ b/jujuberun/generations.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -70,6 +71,10 @@
     A manifest in force is replaced only by one of a higher generation, or of
     the same generation and a higher epoch.
     Listeners are called with each version that comes into force.
+
+    Attributes:
+        refused: reasons of the latest refusals, oldest first.
+        counts: numbers of events by name.
     """
 
     name = "generations"
@@ -79,6 +84,7 @@
         self._listeners: list[Callable[[ManifestVersion], None]] = []
         self._reported_conflict: tuple[Rank, bytes] = ((0, 0), b"")
         self.refused: list[str] = []
+        self.counts: Counter[str] = Counter()
 
     @property
     def current(self) -> ManifestVersion | None:
@@ -237,7 +243,11 @@
         """Returns generation, digest, origin, age in seconds and refusals."""
         current = self.current
         if current is None:
-            return {"generation": None, "refused": self.refused[-5:]}
+            return {
+                "generation": None,
+                "refused": self.refused[-5:],
+                "counts": dict(self.counts),
+            }
         return {
             "generation": current.manifest.generation,
             "epoch": current.manifest.epoch,
@@ -245,6 +255,7 @@
             "origin": current.origin,
             "in_force_for_s": round(now - current.since, 3),
             "refused": self.refused[-5:],
+            "counts": dict(self.counts),
         }
 
     def _accept_if_newer(
@@ -298,5 +309,6 @@
 
     def _record_refusal(self, text: str) -> None:
         logger.error("generations: manifest refused: %s", text)
+        self.counts["refused"] += 1
         self.refused.append(text)
         del self.refused[:-20]
--- a/jujuberun/members.py
+++ b/jujuberun/members.py
@@ -3,7 +3,7 @@
 import hashlib
 import logging
 import math
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from typing import Any
 
@@ -56,6 +56,7 @@
         is_watcher: whether this VM watches the platform.
         peers: peer addresses of all other VMs, including leaving ones.
         refused: reasons of the latest refusals, oldest first.
+        counts: numbers of events by name.
     """
 
     name = "members"
@@ -72,6 +73,7 @@
         self.is_watcher = False
         self.peers: tuple[Address, ...] = ()
         self.refused: deque[str] = deque(maxlen=20)
+        self.counts: Counter[str] = Counter()
         self._vm = vm
         self._texts: deque[tuple[bytes, bytes]] = deque(maxlen=_MAX_TEXTS)
         self._listeners: list[Callable[[VmList], None]] = []
@@ -127,8 +129,7 @@
             return Ok(OfferResult.KNOWN)
         match parse_vm_list(data):
             case Err(error):
-                self.refused.append(f"{origin}: {error}")
-                logger.error("members: VM list refused: %s: %s", origin, error)
+                self._record_refusal(f"{origin}: {error}")
                 return Err(error)
             case Ok(vm_list):
                 pass
@@ -153,9 +154,9 @@
         if (self.position, digest) == self._reported_conflict:
             return
         self._reported_conflict = (self.position, digest)
-        text = f"{origin}: index {self.position} is in use with other content"
-        self.refused.append(text)
-        logger.error("members: VM list refused: %s", text)
+        self._record_refusal(
+            f"{origin}: index {self.position} is in use with other content"
+        )
 
     async def run(self, task_status: TaskStatus[None]) -> None:
         """Returns at once: this part has state but runs no task."""
@@ -182,8 +183,14 @@
                 round(now - self._received_at, 3) if self.text else None
             ),
             "refused": list(self.refused)[-5:],
+            "counts": dict(self.counts),
         }
 
+    def _record_refusal(self, text: str) -> None:
+        self.counts["refused"] += 1
+        self.refused.append(text)
+        logger.error("members: VM list refused: %s", text)
+
     def _replace_list(self, vm_list: VmList, data: bytes, now: float) -> None:
         if vm_list.epoch > self.current.epoch and self.text:
             logger.info(
--- a/jujuberun/metric_table.py
+++ b/jujuberun/metric_table.py
@@ -283,6 +283,16 @@
         "spread",
         _sum_platform_reads,
     ),
+    Metric(
+        "platform_read_age_seconds",
+        "seconds",
+        "document",
+        "Time since the platform last answered a read or a watch.",
+        "Above the longest wait of a watch: the platform does not answer, or a "
+        "connection to it is silent.",
+        "spread",
+        make_path_reader("read_before_s"),
+    ),
     Metric(
         "confirmed",
         "0 or 1",
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -338,6 +338,7 @@
         entry.urgency = service.urgency
         entry.objective = service.objective or DEFAULT_OBJECTIVE_S
         entry.terms = self._order.terms.find(service.id)
+        entry.generation = self._version.manifest.generation
         return entry
 
     def _refuse_unknown_service(self, frame: Frame, now: float) -> None:
--- a/jujuberun/spread.py
+++ b/jujuberun/spread.py
@@ -273,6 +273,11 @@
             "history_complete": self._transfer.history_complete,
             "reads": [dict(watch.counts) for watch in self._watches],
             "platform_errors": [w.last_error for w in self._watches],
+            "read_before_s": {
+                watch.kind.value: round(now - watch.read_at, 3)
+                for watch in self._watches
+                if watch.read_at is not None
+            },
         }
 
     def _refresh_roster(self, now: float) -> None:
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -308,6 +308,7 @@
                 after_ms=round((now - entry.first_seen_at) * 1000),
                 delay_ms=round(entry.start_delay * 1000),
                 generation=self._generations.position,
+                pools_of=entry.generation,
                 targets=self._members.position,
             )
         offer.sequence = accepted.sequence
--- a/jujuberun/watch.py
+++ b/jujuberun/watch.py
@@ -101,6 +101,7 @@
     """Reads one kind of document and offers it to its store.
 
     Attributes:
+        kind: kind of document.
         counts: numbers of reads by result: "changed", "same", "failed".
         last_error: reason of the failure if the last read failed, else empty.
         read_at: time of the last successful read, seconds, monotonic, None
@@ -132,7 +133,7 @@
         self.counts: Counter[str] = Counter()
         self.last_error = ""
         self.read_at: float | None = None
-        self._kind = kind
+        self.kind = kind
         self._source = source
         self._store = store
         self._membership = membership
@@ -162,7 +163,7 @@
             watching = self.is_watching()
             max_wait = self._pace.max_wait if watching else 0.0
             try:
-                document = await self._source.fetch(self._kind, index, max_wait)
+                document = await self._source.fetch(self.kind, index, max_wait)
             except SourceError as error:
                 self._record_failure(error)
                 attempt += 1
@@ -193,7 +194,7 @@
         if self.last_error:
             logger.info(
                 "watch: reading %s from the platform succeeds again",
-                self._kind.value,
+                self.kind.value,
             )
         self.last_error = ""
 
@@ -209,7 +210,7 @@
         if self._source.is_local or not self._has_seeds:
             return
         delay = self._rng.uniform(0, self._pace.start_spread)
-        if self._kind is DocumentKind.MANIFEST:
+        if self.kind is DocumentKind.MANIFEST:
             # The VM list is read first, because it defines the watchers and the
             # peers.
             delay += self._pace.start_spread
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -82,7 +82,11 @@
     },
     "beliefs": {"label": {"active": 2, "suspected": ["t1"], "leaving": []}},
     "offload": {"handed_on": 1, "accepted": 2, "expired": 0},
-    "spread": {"confirmed": True, "reads": [{"same": 1}, {"same": 2}]},
+    "spread": {
+        "confirmed": True,
+        "reads": [{"same": 1}, {"same": 2}],
+        "read_before_s": {"vms": 0.5},
+    },
     "members": {"vms": 12, "held_for_s": 3.0},
     "link": {"sent_bytes": 10, "received_bytes": 20, "counts": {"served": 1}},
 }
@@ -166,6 +170,7 @@
             "requests": {("unknown",): 1},
             "suspected_targets": {("label",): 1},
             "platform_reads": {("same",): 3},
+            "platform_read_age_seconds": {("vms",): 0.5},
             "state_errors": {(): 0},
             "part_events": {
                 ("balancer", "resets"): 2,
