Bound the time for which a silent connection hides a change

Callers saw requests handled by an older configuration than the one that had been confirmed (CONFIG; DRAIN for targets that leave), 5 s after the open connections to the store had gone silent.

Cause: a watch could wait 4 s on such a connection and 1 s more for the lost answer, then paused up to 1 s, and could read again on an idle connection that was silent too. Changes in quick succession align the watches of all balancers, so no peer was earlier.

--- a/jujuberun/watch.py
+++ b/jujuberun/watch.py
@@ -31,6 +31,10 @@
 # Processes that start together spread their first reads over this time. A
 # process that has no document yet reads again after one to two times this time.
 START_SPREAD_S = 5.0
+# The first read after a failure follows within this time, because a lost answer
+# or a silent connection says nothing about the platform. A new connection
+# usually works.
+FIRST_RETRY_S = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -169,12 +173,7 @@
                 attempt += 1
                 # The platform may have been set up again, with lower indexes.
                 index = 0
-                delay = choose_backoff(
-                    attempt, self._rng, self._pace.retry_limit
-                )
-                if self._source.is_local:
-                    delay = LOCAL_RETRY_DELAY_S
-                await self._pause(delay)
+                await self._pause(self._choose_retry_delay(attempt))
                 continue
             attempt = 0
             self._record_read(read_clock())
@@ -185,6 +184,18 @@
                 self._offer(document, read_clock())
             await self._pause(self._pace.min_interval)
 
+    def _choose_retry_delay(self, attempt: int) -> float:
+        """Returns the seconds until the next read after failed ones.
+
+        Args:
+            attempt: number of consecutive failures, from 1.
+        """
+        if self._source.is_local:
+            return LOCAL_RETRY_DELAY_S
+        if attempt == 1:
+            return self._rng.uniform(0, FIRST_RETRY_S)
+        return choose_backoff(attempt - 1, self._rng, self._pace.retry_limit)
+
     def _offer(self, document: PlatformDocument, now: float) -> None:
         self.counts["changed"] += 1
         self._store.offer(document.data, "platform", now)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -215,7 +215,7 @@
 [platform]
 url = "http://{layout.find_store_proxy(number)}:{STORE_PORT}"
 lists_balancers = false
-watch_wait = 4.0
+watch_wait = 1.5
 start_spread = 0.02
 retry_limit = 1.0
 
