--- a/tests/platformstore.py
+++ b/tests/platformstore.py
@@ -1,6 +1,7 @@
 """In-process stand-in for the platform's store, without a network."""
 
 import base64
+import contextlib
 import json
 import sys
 from pathlib import Path
@@ -56,7 +57,22 @@
     }
 
 
-class FakeStore:
+class FakePool:
+    """Stands in for httpcore's connection pool; subclasses answer calls."""
+
+    async def request(self, method, url, extensions):
+        raise NotImplementedError
+
+    @contextlib.asynccontextmanager
+    async def stream(self, method, url, extensions):
+        response = await self.request(method, url, extensions)
+        content = await response.aread()
+        yield httpcore.Response(
+            response.status, headers=response.headers, content=content
+        )
+
+
+class FakeStore(FakePool):
     """Stands in for httpcore's connection pool and the store behind it.
 
     Attributes:
@@ -114,9 +130,7 @@
         return StoreSource(self, "http://store", AGENT_PORT)
 
     async def request(self, method, url, extensions):
-        response = await self.answer(url)
-        await response.aread()
-        return response
+        return await self.answer(url)
 
     async def answer(self, url):
         parts = urlsplit(url)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -5,7 +5,13 @@
 import test_spread
 from fleet import make_address
 from network import run_virtual
-from platformstore import FakeStore, make_configuration, make_entry, make_route
+from platformstore import (
+    FakePool,
+    FakeStore,
+    make_configuration,
+    make_entry,
+    make_route,
+)
 from testtools import ExpectedException, TestCase
 
 from jujuberun.draining.drains import Drains
@@ -22,12 +28,12 @@
 WATCH_WAIT_S = 4.0
 
 
-class CutOffStore:
+class CutOffStore(FakePool):
     async def request(self, method, url, extensions):
         raise httpcore.ConnectError("cut off")
 
 
-class HeldStore:
+class HeldStore(FakePool):
     """Delivers no answer until it is released, as to a frozen process."""
 
     def __init__(self, store):
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -4,14 +4,19 @@
 from network import run_virtual
 from platformstore import (
     AGENT_PORT,
+    FakeStore,
+    make_configuration,
     make_entry,
+    make_route,
 )
 from storenetwork import StoreNetwork
 from test_restored_store import StoreFleet
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 from testtools.matchers import LessThan
 
+from jujuberun.errors import SourceError
 from jujuberun.ids import VmState
+from jujuberun.source import DocumentKind
 from jujuberun.watch import ReadPace
 
 from adapter.store import StoreSource  # isort: skip
@@ -142,3 +147,51 @@
             return await measure(lambda: node.generations.position == 30)
 
         self.assertThat(run_fleet(scenario, 2), LessThan(1.0))
+
+
+class LargeAnswerTest(TestCase):
+    def test_answer_that_takes_long_to_arrive_is_read(self):
+        # Guards against a configuration of 1 MB that is never read through a
+        # slow link, because its answer takes longer than a lost one.
+        store = FakeStore()
+        routes = [
+            make_route(f"r-{n}", f"198.18.{n // 200}.{n % 200 + 1}")
+            for n in range(2_000)
+        ]
+        store.put("op/config", make_configuration(7, *routes))
+        network = StoreNetwork(store)
+        network.piece_bytes, network.piece_delay = 8_192, 0.05
+
+        async def run():
+            source = StoreSource.from_config(
+                "http://store", AGENT_PORT, network
+            )
+            start = anyio.current_time()
+            await source.fetch(DocumentKind.MANIFEST, 0, 0)
+            return anyio.current_time() - start
+
+        self.assertThat(2.0, LessThan(run_virtual(run)))
+
+    def test_silence_within_an_answer_ends_the_read(self):
+        # Guards against a reader that waits for the rest of an answer.
+        store = FakeStore()
+        store.put("op/config", make_configuration(7))
+        network = StoreNetwork(store)
+        network.piece_bytes, network.piece_delay = 64, 0.3
+
+        async def run():
+            source = StoreSource.from_config(
+                "http://store", AGENT_PORT, network
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(fail_to_read, source)
+                await anyio.sleep(0.7)
+                network.silence()
+                start = anyio.current_time()
+            return anyio.current_time() - start
+
+        async def fail_to_read(source):
+            with ExpectedException(SourceError):
+                await source.fetch(DocumentKind.MANIFEST, 0, 0)
+
+        self.assertThat(run_virtual(run), LessThan(1.1))
