Take the largest configurations that the platform's store can hold

Callers saw a removed route served for good, and an added one not at all, once the configuration had some 4,000 routes (700 KB): each balancer refused that version and all later ones, and one that started then had none. A value of the store may have 1,048,576 bytes.

Cause: a route of 165 bytes becomes a service of 250 bytes, and manifests and documents between peers were limited to 1,000,000 bytes.

Change: documents may have 4,000,000 bytes, frames between peers 5 MiB, and the caches of services hold as many as a manifest may have.

--- a/jujuberun/canonical.py
+++ b/jujuberun/canonical.py
@@ -11,9 +11,10 @@
     from jujuberun.manifest import Manifest, PoolShare, Service, Target
 
 # Size of the caches of services, of targets and of their parts. Most entries
-# of a new manifest are unchanged since the previous one. The limit is above
-# the number of services and of targets in a fleet of the intended size.
-MAX_CACHED_ENTRIES = 8_192
+# of a new manifest are unchanged since the previous one. The limit is the
+# maximum number of services in manifest.schema.json: with a lower one, a larger
+# manifest would evict each entry before its next use.
+MAX_CACHED_ENTRIES = 10_000
 _HEAD_PATTERN = re.compile(
     r'\{"generation":([1-9][0-9]{0,18}),'
     r'(?:"epoch":([1-9][0-9]{0,6}),)?"services":\['
--- a/jujuberun/delta.py
+++ b/jujuberun/delta.py
@@ -15,7 +15,9 @@
 
 from jujuberun.errors import WireError
 
-MAX_DOCUMENT_BYTES = 1_000_000  # maximum size of a value on the platform
+# The largest values of platforms have 1 MiB. An adapter's translation may take
+# nearly four times the space.
+MAX_DOCUMENT_BYTES = 4_000_000
 DIGEST_BYTES = 16
 _COMPRESSION_LEVEL = 3
 _CHUNK_END = b"}"
--- a/jujuberun/generations.py
+++ b/jujuberun/generations.py
@@ -20,6 +20,9 @@
 # Manifests that were replaced longer ago are dropped from the history.
 HISTORY_RETENTION_S = 300.0
 MAX_VERSIONS = 16  # includes the version in force
+# Replaced manifests that no flow depends on serve as bases of deltas only. They
+# are kept up to this total size of their texts.
+MAX_BASE_BYTES = 2_000_000
 
 logger = logging.getLogger(__name__)
 
@@ -220,7 +223,7 @@
         version = ManifestVersion(tables, data, origin, since, digest, replaced)
         self._versions.append(version)
         self._versions.sort(key=lambda item: item.manifest.generation)
-        del self._versions[:-MAX_VERSIONS]
+        self._drop_old_versions()
         return Ok(OfferResult.OLDER)
 
     def report_conflict(self, digest: bytes, origin: str) -> None:
@@ -286,7 +289,7 @@
             if now - earlier.replaced <= HISTORY_RETENTION_S
         ]
         self._versions.append(version)
-        del self._versions[:-MAX_VERSIONS]
+        self._drop_old_versions()
         logger.info(
             "generations: generation %d from %s is now in force",
             manifest.generation,
@@ -297,6 +300,17 @@
             listener(version)
         return Ok(OfferResult.IN_FORCE)
 
+    def _drop_old_versions(self) -> None:
+        del self._versions[:-MAX_VERSIONS]
+        if self.needs_history:
+            return
+        size = 0
+        for index in range(len(self._versions) - 2, -1, -1):
+            size += len(self._versions[index].text)
+            if size > MAX_BASE_BYTES:
+                del self._versions[: index + 1]
+                return
+
     def _make_conflict_error(
         self, generation: int, origin: str
     ) -> ManifestError:
--- a/jujuberun/link.py
+++ b/jujuberun/link.py
@@ -22,7 +22,8 @@
 from jujuberun.ids import Address
 from jujuberun.wire import Codec, Signer, find_body, read_wall_clock
 
-MAX_FRAME_BYTES = 2 << 20  # about twice MAX_DOCUMENT_BYTES of module delta
+# Above MAX_DOCUMENT_BYTES of module delta, for documents that do not compress.
+MAX_FRAME_BYTES = 5 << 20
 MAX_CONNECTIONS = 512  # accepted connections that are open at the same time
 # Limits the total size of the frames that are being received. They are not
 # verified yet, so without a limit any peer could use up the daemon's 128 MB.
--- a/jujuberun/manifest.py
+++ b/jujuberun/manifest.py
@@ -16,6 +16,7 @@
     dump_service,
     split_manifest,
 )
+from jujuberun.delta import MAX_DOCUMENT_BYTES
 from jujuberun.errors import ManifestError
 from jujuberun.first_packet import FirstPacket
 from jujuberun.ids import (
@@ -38,7 +39,7 @@
     load_schema,
 )
 
-MAX_MANIFEST_BYTES = 1_000_000
+MAX_MANIFEST_BYTES = MAX_DOCUMENT_BYTES
 _STEP = "check manifest"
 
 
@@ -162,7 +163,8 @@
         value and what is allowed.
     """
     if len(data) > MAX_MANIFEST_BYTES:
-        return _refuse("file", f"{len(data)} bytes", "at most 1,000,000 bytes")
+        allowed = f"at most {MAX_MANIFEST_BYTES:,} bytes"
+        return _refuse("file", f"{len(data)} bytes", allowed)
     manifest = _parse_canonical(data)
     if manifest is not None:
         return Ok(manifest)
