Leave out single registrations that no process can use

An entry whose key has a lone surrogate ended every balancer at each start (UnicodeEncodeError when its id was hashed). Entries below another key (servers/x/i-1) replaced target i-1, and those at 0.0.0.0, broadcast or multicast addresses, or at a balancer's, were taken for targets.

Cause: the adapter checked types, not whether a text can be encoded, sent and logged or an address be sent to, and one part that the VM list does not allow made each process refuse the whole list. The parser of a peer's list raised OverflowError for an infinite index, which ends the process.

Balancers leave out targets at their own and each other's hosts.

--- a/jujuberun/document_parts.py
+++ b/jujuberun/document_parts.py
@@ -42,13 +42,13 @@
     peers: Peers = kernel.find("peers")
     link = Link(settings.peer, signer)
     generations = Generations()
-    members = Members(settings.vm)
     drains = Drains() if source.publishes_drains else None
     seeds = find_seeds(settings)
     platform = settings.platform
     roster = None
     if not platform.lists_balancers:
         roster = Roster(settings.peer, seeds, platform.watch_wait)
+    members = Members(settings.vm, roster.list_hosts if roster else tuple)
     spread = Spread(
         settings.vm,
         seeds,
--- /dev/null
+++ b/jujuberun/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Documents of the platform that all processes hold."""
--- a/jujuberun/draining/drains.py
+++ b/jujuberun/draining/drains.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
-from jujuberun.delta import digest_document
+from jujuberun.documents.recent_texts import RecentTexts
 from jujuberun.draining.drain_list import (
     DrainList,
     digest_drains,
@@ -22,7 +22,6 @@
 from jujuberun.ids import DomainId, Rank
 from jujuberun.logs import make_logger
 
-_MAX_TEXTS = 8  # number of recent texts that are kept as bases of deltas
 _MAX_REFUSALS = 20  # number of refusals that the state dump can show
 
 _log = make_logger("drains")
@@ -67,7 +66,7 @@
         self._next_end = math.inf
         self._received_at = 0.0
         self._origin = ""
-        self._texts: deque[tuple[bytes, bytes]] = deque(maxlen=_MAX_TEXTS)
+        self._texts = RecentTexts()
         self._listeners: list[Callable[[], None]] = []
         self._reported_conflict: tuple[int, bytes] = (0, b"")
 
@@ -123,10 +122,7 @@
 
     def find_text(self, digest: bytes) -> bytes | None:
         """Returns the text with this digest, None if no recent list has it."""
-        for known_digest, text in self._texts:
-            if known_digest == digest:
-                return text
-        return None
+        return self._texts.find(digest)
 
     def offer(
         self, data: bytes, origin: str, now: float
@@ -249,8 +245,7 @@
 
     def _set_text(self, data: bytes) -> None:
         self.text = data
-        self.text_digest = digest_document(data)
-        self._texts.append((self.text_digest, data))
+        self.text_digest = self._texts.add(data)
 
     def _put_in_force(self, reason: str, now: float) -> None:
         before, self.domains = (
--- a/jujuberun/events/__init__.py
+++ b/jujuberun/events/__init__.py
@@ -183,6 +183,12 @@
         "A VM list was refused; the one in force stays.",
         "Read the reason in the log.",
     ),
+    Event(
+        "members",
+        "ignored",
+        "A malformed VM of a list was left out; the others are listed.",
+        "Read the log of the process that read the platform.",
+    ),
     Event("spread", "sent", "A status message was sent to a peer.", NO_ACTION),
     Event(
         "spread", "received", "A status message arrived from a peer.", NO_ACTION
--- a/jujuberun/members.py
+++ b/jujuberun/members.py
@@ -1,26 +1,27 @@
 """The VM list in force, and who watches the platform."""
 
+import dataclasses
 import hashlib
 import logging
 import math
 from collections import Counter, defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from anyio.abc import TaskStatus
 from result import Err, Ok, Result
 
 from jujuberun.delta import digest_document
+from jujuberun.documents.recent_texts import RecentTexts
 from jujuberun.errors import SourceError
 from jujuberun.former_members import FormerMembers
 from jujuberun.generations import OfferResult
 from jujuberun.ids import Address, DomainId, Rank, Role, VmId, VmState
-from jujuberun.vm_list import VmList, parse_vm_list
+from jujuberun.vm_list import Vm, VmList, parse_vm_list
 
 # With three watchers, two of a group may be down or get no answer from the
 # platform. A fixed number keeps the reads independent of the size of the fleet.
 WATCHERS_PER_GROUP = 3
-_MAX_TEXTS = 8  # number of recent texts that are kept as bases of deltas
 
 logger = logging.getLogger(__name__)
 
@@ -61,12 +62,20 @@
 
     name = "members"
 
-    def __init__(self, vm: VmId) -> None:
+    def __init__(
+        self,
+        vm: VmId,
+        list_balancers: Callable[[], Collection[str]] = tuple,
+    ) -> None:
         """Creates an empty store.
 
         Args:
             vm: id of this VM.
+            list_balancers: returns the hosts of balancers that lists do not
+                name. A target that is listed at such a host is left out: what
+                is sent there would be taken for packets of callers.
         """
+        self._list_balancers = list_balancers
         self.current = VmList()
         self.text = b""
         self.text_digest = b""
@@ -75,7 +84,7 @@
         self.refused: deque[str] = deque(maxlen=20)
         self.counts: Counter[str] = Counter()
         self._vm = vm
-        self._texts: deque[tuple[bytes, bytes]] = deque(maxlen=_MAX_TEXTS)
+        self._texts = RecentTexts()
         self._listeners: list[Callable[[VmList], None]] = []
         self._reported_conflict: tuple[int, bytes] = (0, b"")
         self._received_at = 0.0
@@ -100,10 +109,7 @@
 
     def find_text(self, digest: bytes) -> bytes | None:
         """Returns the text with this digest, None if no recent list has it."""
-        for known_digest, text in self._texts:
-            if known_digest == digest:
-                return text
-        return None
+        return self._texts.find(digest)
 
     def subscribe(self, listener: Callable[[VmList], None]) -> None:
         """Calls the listener with the current list and each later one."""
@@ -201,16 +207,43 @@
                 self.current.epoch,
                 self.current.index,
             )
+        if vm_list.ignored:
+            self.counts["ignored"] += vm_list.ignored
+            logger.warning(
+                "members: %d VMs of the list at index %d ignored: they are "
+                "malformed",
+                vm_list.ignored,
+                vm_list.index,
+            )
         self._former.record_list(self.current, vm_list, now)
         self._listed = vm_list
         self.text = data
-        self.text_digest = digest_document(data)
-        self._texts.append((self.text_digest, data))
+        self.text_digest = self._texts.add(data)
         self._received_at = now
         self._put_in_force(now)
 
+    def _leave_out_balancers(self, vm_list: VmList) -> VmList:
+        balancers = self._list_balancers()
+        vms = {
+            name: vm
+            for name, vm in vm_list.vms.items()
+            if _is_target(vm, balancers)
+        }
+        left_out = len(vm_list.vms) - len(vms)
+        if not left_out:
+            return vm_list
+        logger.warning(
+            "members: %d targets at addresses of balancers left out at index "
+            "%d",
+            left_out,
+            vm_list.index,
+        )
+        return dataclasses.replace(vm_list, vms=vms)
+
     def _put_in_force(self, now: float) -> None:
-        self.current = self._former.correct(self._listed, now)
+        self.current = self._leave_out_balancers(
+            self._former.correct(self._listed, now)
+        )
         self._correction_end = self._former.find_next_end(now)
         self.is_watcher = self._vm in choose_watchers(self.current)
         others = (vm for vm in self.current.vms.values() if vm.id != self._vm)
@@ -219,5 +252,9 @@
             listener(self.current)
 
 
+def _is_target(vm: Vm, balancers: Collection[str]) -> bool:
+    return vm.role is not Role.AGENT or vm.peer[0] not in balancers
+
+
 def _hash_id(vm: VmId) -> bytes:
     return hashlib.blake2b(vm.encode(), digest_size=8).digest()
--- a/jujuberun/roster.py
+++ b/jujuberun/roster.py
@@ -93,6 +93,10 @@
         delay = DELAY_PER_RANK_S * min(rank, MAX_DELAY_RANKS)
         return self._now - self.read_at > self._stale_after_s + delay
 
+    def list_hosts(self) -> frozenset[str]:
+        """Returns the hosts of all known balancers, this one included."""
+        return frozenset(host for host, _ in (self._address, *self.peers))
+
     def set_seeds(self, seeds: Sequence[Address]) -> None:
         """Replaces the seeds after a change of the settings."""
         self._seeds = tuple(seeds)
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,255 @@
+"""Tests of odd entries that other writers leave in the platform's store."""
+
+import ipaddress
+import json
+
+import anyio
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from packetpath import PORT, Caller, Fleet, make_vm
+from platformstore import AGENT_PORT, make_entry
+from test_restored_store import run_fleet
+from testtools import TestCase
+from testtools.matchers import LessThan
+
+from jujuberun.delta import MAX_DOCUMENT_BYTES
+from jujuberun.documents.recent_texts import MAX_BYTES, RecentTexts
+from jujuberun.draining.drain_list import parse_drain_list
+from jujuberun.ids import VmId, VmState
+from jujuberun.manifest import parse_manifest
+from jujuberun.members import Members
+from jujuberun.vm_list import parse_vm_list
+
+from adapter.documents import StoreEntry  # isort: skip
+from adapter.positions import Position  # isort: skip
+from adapter.targets import translate_registrations  # isort: skip
+
+# A target that leaves must be known to leave within this time.
+DRAIN_S = 3.0
+LONE = "\ud800"
+ODD_ENTRIES = [
+    make_entry(service=LONE),
+    make_entry(service="x" * 5_000),
+    make_entry(service="x y"),
+    make_entry(service="x" * 1_000_000),
+    make_entry(Zone=LONE),
+    make_entry(Zone="z" * 5_000),
+    make_entry(Zone="a\n"),
+    make_entry(born=10**4_000),
+    make_entry(born=-(10**4_000)),
+    make_entry(Address="0.0.0.0:8165"),
+    make_entry(Address="255.255.255.255:8165"),
+    make_entry(Address="224.0.0.1:8165"),
+    make_entry(Address="10.2.0.1:99999"),
+    make_entry(Slots=10**400),
+    make_entry(WarmupLeftMs=10**400),
+    b'{"Service":' + b"[" * 100_000,
+]
+ODD_KEYS = [
+    "servers/",
+    f"servers/{LONE}",
+    "servers/" + "i" * 5_000,
+    "servers/other/i-1",
+    "servers/a\nb",
+]
+
+
+def list_entries(values):
+    """Returns entries of the store by pairs of key and value."""
+    return [
+        StoreEntry(
+            key,
+            value if isinstance(value, bytes) else json.dumps(value).encode(),
+            Position(0, 5),
+        )
+        for key, value in values
+    ]
+
+
+def translate(*values):
+    """Returns the VMs that result from pairs of key and value."""
+    data = translate_registrations(list_entries(values), 1, 0, AGENT_PORT, 0.0)
+    return parse_vm_list(data).unwrap().vms
+
+
+class OddRegistrationTest(TestCase):
+    def test_odd_entry_stops_no_balancer(self):
+        # Guards against an entry that ends each process that reads the list,
+        # or that makes it refuse the list and all later ones.
+        cases = [("servers/odd", entry) for entry in ODD_ENTRIES]
+        cases += [(key, make_entry("10.2.0.9")) for key in ODD_KEYS]
+        for key, entry in cases:
+
+            async def scenario(fleet, key=key, entry=entry):
+                fleet.store.put("servers/i-1", make_entry())
+                await anyio.sleep(1.0)
+                fleet.store.put(key, entry)
+                await anyio.sleep(1.0)
+                leaving = make_entry(state="draining")
+                fleet.store.put("servers/i-1", leaving)
+                await anyio.sleep(DRAIN_S)
+                return [
+                    {
+                        name: vm.state
+                        for name, vm in node.members.current.vms.items()
+                    }
+                    for node in fleet.nodes.values()
+                ]
+
+            found = run_fleet(scenario, size=2)
+            self.assertEqual([{"i-1": VmState.LEAVING}] * 2, found, key[:40])
+
+    def test_entry_below_another_key_does_not_replace_a_target(self):
+        # Guards against "servers/x/i-1", which was taken for target i-1.
+        other = make_entry("10.9.9.9")
+        vms = translate(("servers/i-1", make_entry()), ("servers/x/i-1", other))
+        self.assertEqual({"i-1"}, set(vms))
+        self.assertEqual(("10.2.0.1", AGENT_PORT), vms["i-1"].peer)
+
+    def test_entries_of_another_fleet_displace_no_target(self):
+        # Guards against a list that is refused because many other entries make
+        # it too large.
+        others = [
+            (f"servers/a-{n:05d}", make_entry(service="other", Zone="z" * 200))
+            for n in range(10_000)
+        ]
+        targets = [(f"servers/i-{n}", make_entry()) for n in range(100)]
+        entries = list_entries([*others, *targets])
+        data = translate_registrations(entries, 1, 0, AGENT_PORT, 0.0)
+        self.assertThat(len(data), LessThan(MAX_DOCUMENT_BYTES + 1))
+        vms = parse_vm_list(data).unwrap().vms
+        self.assertEqual(set(), {f"i-{n}" for n in range(100)} - set(vms))
+        self.assertThat(1_000, LessThan(len(vms)))
+
+    def test_recent_lists_take_a_bounded_space(self):
+        texts = RecentTexts()
+        digests = [texts.add(b"%d" % n * (MAX_BYTES // 3)) for n in range(8)]
+        kept = [d for d in digests if texts.find(d) is not None]
+        self.assertEqual(digests[-3:], kept)
+        large = texts.add(b"x" * (2 * MAX_BYTES))
+        self.assertIsNotNone(texts.find(large))
+        self.assertIsNone(texts.find(digests[-1]))
+
+
+class BalancerAddressTest(TestCase):
+    def test_target_at_the_address_of_a_balancer_is_left_out(self):
+        members = Members(VmId("b-1"), lambda: {"10.1.0.1"})
+        values = [
+            ("servers/i-1", make_entry()),
+            ("servers/odd", make_entry("10.1.0.1")),
+        ]
+        data = translate_registrations(
+            list_entries(values), 1, 0, AGENT_PORT, 0.0
+        )
+        members.offer(data, "platform", 0.0)
+        self.assertEqual({"i-1"}, set(members.current.vms))
+
+    def test_packets_do_not_circulate_between_balancers(self):
+        # Guards against registrations at the addresses of two balancers, for
+        # which these send the packets of a flow to each other without end.
+        fleet = Fleet(balancers=2, targets=1)
+        fleet.vms += [
+            make_vm(balancer.host, name=f"odd-{balancer.host}")
+            for balancer in fleet.balancers
+        ]
+        fleet.distribute_config()
+        caller = Caller(fleet.net, 1)
+        caller.accepted = 7
+        caller.send_request(fleet.balancers[0])
+        fleet.run(1.0)
+        self.assertThat(fleet.net.sent_count, LessThan(60))
+        start = Caller(fleet.net, 2)
+        start.start(fleet.balancers[0])
+        fleet.run(0.3)
+        self.assertIsNotNone(start.accepted)
+        self.assertEqual(1, len(fleet.targets[0].opened_at))
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=5)
+    | st.sampled_from([LONE, "x" * 3_000, 10**400, -1, "0.0.0.0:1"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+HOSTS = st.sampled_from(
+    ["0.0.0.0", "255.255.255.255", "239.0.0.1", "10.1.0.0", "10.9.0.7"]
+)
+ENTRIES = st.builds(
+    lambda host, changes: make_entry(host, **changes),
+    HOSTS,
+    st.dictionaries(st.sampled_from(list(make_entry())), JSON_VALUES),
+)
+KEYS = st.text(max_size=6) | st.sampled_from([LONE, "x" * 300, "i/0", "0"])
+
+
+class OddEntryPathTest(TestCase):
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(KEYS, ENTRIES), min_size=1, max_size=3))
+    @example([("odd", make_entry("255.255.255.255"))])
+    def test_flows_open_whatever_other_writers_register(self, odd):
+        # Guards against an entry that ends a process or a packet's handling at
+        # the last place that uses it.
+        fleet = Fleet(balancers=2, targets=2)
+        hosts = {balancer.host for balancer in fleet.balancers}
+        values = [
+            (f"servers/{target.host}", make_entry(target.host))
+            for target in fleet.targets
+        ]
+        values += [(f"servers/{key}", value) for key, value in odd]
+        entries = list_entries(values)
+        for balancer in fleet.balancers:
+            members = Members(VmId(balancer.host), lambda: hosts)
+            text = translate_registrations(entries, 1, 0, PORT, 0.0)
+            members.offer(text, "platform", 0.0).unwrap()
+            balancer.relay.apply_vm_list(members.current, fleet.net.now)
+        addresses = set()
+
+        def record(data, sender, address):
+            addresses.add(address)
+            return False
+
+        fleet.net.is_lost = record
+        callers = [Caller(fleet.net, number) for number in range(1, 6)]
+        for caller in callers:
+            caller.start(fleet.balancers[0])
+        fleet.run(0.4)
+        for caller in callers:
+            self.assertIsNotNone(caller.accepted)
+            caller.send_request(fleet.balancers[1])
+        fleet.run(0.3)
+        self.assertEqual([1] * 5, [caller.answers for caller in callers])
+        for balancer in fleet.balancers:
+            self.assertEqual(0, balancer.relay.counts["failed"])
+        for host, port in addresses - {("router", 1)}:
+            address = ipaddress.IPv4Address(host)
+            self.assertFalse(address.is_multicast or address.is_reserved)
+            self.assertFalse(address.is_unspecified or not 0 < port < 65_536)
+
+
+class PeerTextTest(TestCase):
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        st.dictionaries(
+            st.sampled_from(
+                ["index", "vms", "epoch", "domains", "generation", "services"]
+            ),
+            JSON_VALUES | st.lists(JSON_VALUES, max_size=3),
+        )
+    )
+    @example({"index": float("inf"), "vms": [], "epoch": 0})
+    @example({"index": 1, "vms": [], "epoch": float("nan")})
+    @example({"index": 1, "domains": [LONE]})
+    def test_texts_of_peers_end_no_process(self, document):
+        # Guards against a number out of range, for which the parser raised an
+        # OverflowError that ended the process.
+        data = json.dumps(document).encode()
+        for parse in (parse_vm_list, parse_drain_list, parse_manifest):
+            parse(data)
+        Members(VmId("b-1")).offer(data, "10.1.0.2:7720", 0.0)
