Leave out single routes that are malformed

One route that a manifest cannot express (a service of another form of name, a weight or a time out of range, 101 shares) made each balancer refuse the version and all later ones that contained it: callers of the others saw old routes for good.

--- a/jujuberun/manifest.py
+++ b/jujuberun/manifest.py
@@ -40,6 +40,7 @@
 )
 
 MAX_MANIFEST_BYTES = MAX_DOCUMENT_BYTES
+MAX_SERVICES: int = load_schema()["properties"]["services"]["maxItems"]
 _STEP = "check manifest"
 
 
@@ -194,7 +195,7 @@
     if split is None:
         return None
     generation, epoch, texts = split
-    services = [_parse_canonical_service(text) for text in texts]
+    services = [parse_service_text(text) for text in texts]
     if any(service is None for service in services):
         return None
     by_id = {service.id: service for service in services}
@@ -210,7 +211,7 @@
 
 
 @lru_cache(MAX_CACHED_ENTRIES)
-def _parse_canonical_service(text: str) -> Service | None:
+def parse_service_text(text: str) -> Service | None:
     """Returns the service of a text that is valid and canonical, or None."""
     try:
         document = _make_document(1, 0, _load_json(text))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,7 +7,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from packetpath import PORT, Caller, Fleet, make_vm
-from platformstore import AGENT_PORT, make_entry
+from platformstore import AGENT_PORT, make_configuration, make_entry, make_route
 from test_restored_store import run_fleet
 from testtools import TestCase
 from testtools.matchers import LessThan
@@ -15,12 +15,13 @@
 from jujuberun.delta import MAX_DOCUMENT_BYTES
 from jujuberun.documents.recent_texts import MAX_BYTES, RecentTexts
 from jujuberun.draining.drain_list import parse_drain_list
+from jujuberun.errors import SourceError
 from jujuberun.ids import VmId, VmState
 from jujuberun.manifest import parse_manifest
 from jujuberun.members import Members
 from jujuberun.vm_list import parse_vm_list
 
-from adapter.documents import StoreEntry  # isort: skip
+from adapter.documents import StoreEntry, translate_configuration  # isort: skip
 from adapter.positions import Position  # isort: skip
 from adapter.targets import translate_registrations  # isort: skip
 
@@ -253,3 +254,44 @@
         for parse in (parse_vm_list, parse_drain_list, parse_manifest):
             parse(data)
         Members(VmId("b-1")).offer(data, "10.1.0.2:7720", 0.0)
+
+
+class OddRouteTest(TestCase):
+    def test_odd_route_does_not_stop_the_others(self):
+        # Guards against one route for which each balancer refuses the version,
+        # and all later ones that contain it.
+        share = {"Service": "a", "Weight": float("inf")}
+        for changes in (
+            {"Service": None, "WeightedServices": [share]},
+            {
+                "Service": None,
+                "WeightedServices": [{**share, "Weight": 1}] * 101,
+            },
+            {"Service": None},
+            {"Service": LONE},
+            {"Service": "x y"},
+            {"Prefix": "/x/"},
+            {"Prefix": "/99999/"},
+            {"Host": "example.org"},
+            {"Host": None},
+        ):
+            odd = make_route("r-2", port=8443, **changes)
+            document = make_configuration(7, make_route(), odd)
+            data = json.dumps(document).encode()
+            manifest = parse_manifest(translate_configuration(data, 0)).unwrap()
+            self.assertEqual({"r-1"}, set(manifest.services), changes)
+
+    def test_odd_time_stands_for_the_default(self):
+        for value in (10**400, -1, "soon", None, True, 86_400_001):
+            document = make_configuration(7, make_route(SloMs=value))
+            document["Limits"]["IdleTimeoutMs"] = value
+            data = json.dumps(document).encode()
+            manifest = parse_manifest(translate_configuration(data, 0)).unwrap()
+            (service,) = manifest.services.values()
+            self.assertEqual((0, 0), (service.objective, service.idle_timeout))
+
+    def test_configuration_without_a_valid_route_is_refused(self):
+        for routes in ([], [make_route(Prefix="/x/")], [7], 7, None):
+            document = {**make_configuration(7), "Routes": routes}
+            data = json.dumps(document).encode()
+            self.assertRaises(SourceError, translate_configuration, data, 0)
