Place waiting starts by the manifest in force

Cause: FlowEntry.pools was set once. Change: each offer takes the pools of the service in the manifest in force; a start whose route is gone is refused at once, as not run. An offer that was not confirmed is repeated only to a target of these pools.

Both tests of test_changed_routes fail on the code before (a start opens at the old pool, none is refused).

--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -123,7 +123,7 @@
             self._steering,
             self._order,
             peers,
-            generations,
+            self._services,
             members,
             self.counts,
             self._log,
--- a/jujuberun/servicemap.py
+++ b/jujuberun/servicemap.py
@@ -1,6 +1,8 @@
 """Packet services by address, with the pools that they used recently."""
 
-from jujuberun.ids import Address, PoolId, Protocol, ServiceId
+from jujuberun.flowtable import FlowEntry
+from jujuberun.frames import unpack_service
+from jujuberun.ids import Address, Generation, PoolId, Protocol, ServiceId
 from jujuberun.manifest import Manifest, Service
 
 # Flows that were opened in a pool stay there when their service moves to
@@ -9,9 +11,14 @@
 
 
 class ServiceMap:
-    """Packet services of the manifest in force, and their former pools."""
+    """Packet services of the manifest in force, and their former pools.
+
+    Attributes:
+        generation: generation of the manifest, 0 before the first one.
+    """
 
     def __init__(self) -> None:
+        self.generation = Generation(0)
         self._services: dict[Address, Service] = {}
         self._former_pools: dict[Address, dict[PoolId, float]] = {}
 
@@ -35,6 +42,20 @@
             for share in service.pools:
                 former[share.pool] = now
         self._services = services
+        self.generation = manifest.generation
+
+    def refresh(self, entry: FlowEntry) -> bool:
+        """Gives a start that has not opened the pools of its service now.
+
+        Returns:
+            Whether there is a service at the flow's address.
+        """
+        service = self._services.get(unpack_service(entry.key))
+        if service is None:
+            return False
+        entry.service, entry.pools = service.id, service.pools
+        entry.generation = self.generation
+        return True
 
     def find(self, address: Address) -> Service | None:
         """Returns the service at an address, or None if there is none."""
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -13,7 +13,6 @@
 from jujuberun.durations import Durations
 from jujuberun.flowtable import FlowEntry, FlowTable, Offer
 from jujuberun.frames import NO_BUSY_LIMIT, Frame, unpack_caller
-from jujuberun.generations import Generations
 from jujuberun.ids import Address
 from jujuberun.load_reports import LoadReports
 from jujuberun.members import Members
@@ -22,6 +21,7 @@
 from jujuberun.packetport import PacketPort
 from jujuberun.peers import Peers
 from jujuberun.port import run_checks
+from jujuberun.servicemap import ServiceMap
 from jujuberun.start_placement import (
     MAX_FREE_SLOT_TRIES,
     NoPlace,
@@ -58,7 +58,7 @@
         steering: Steering,
         order: StartOrder,
         peers: Peers,
-        generations: Generations,
+        services: ServiceMap,
         members: Members,
         counts: Counter[str],
         log: DecisionLog,
@@ -74,7 +74,7 @@
             steering: chooses targets.
             order: ranks and limits starts by what their callers lose.
             peers: delivers messages of agents.
-            generations: provides the generation that is logged.
+            services: services of the manifest in force.
             members: provides the index of the list of VMs that is logged.
             counts: event counters of the balancer.
             log: log for decisions of the balancer.
@@ -89,7 +89,7 @@
         self._port = port
         self._flows = flows
         self._steering = steering
-        self._generations = generations
+        self._services = services
         self._members = members
         self._counts = counts
         self._log = log
@@ -138,6 +138,10 @@
         """Offers a start to the next target, or holds or refuses it."""
         if entry.start_packet is None:
             return  # It was answered, or its time is over.
+        if not self._services.refresh(entry):
+            self.refuse_start(entry, "its route was removed", now)
+            entry.start_packet = None
+            return
         if not entry.hold_count:
             pool = choose_pool(entry.pools, entry.key)
             service_time = self._steering.find_service_time(pool, now)
@@ -169,6 +173,8 @@
             candidate = self._steering.find(offer.target)
             if candidate is None or not candidate.takes_starts:
                 continue
+            if candidate.pool not in entry.pool_ids:
+                continue
             if self._cold.is_full(candidate, now):
                 waits = True
                 continue
@@ -307,7 +313,7 @@
                 declined=len(entry.declined),
                 after_ms=round((now - entry.first_seen_at) * 1000),
                 delay_ms=round(entry.start_delay * 1000),
-                generation=self._generations.position,
+                generation=self._services.generation,
                 pools_of=entry.generation,
                 targets=self._members.position,
             )
--- a/jujuberun/waiting_starts.py
+++ b/jujuberun/waiting_starts.py
@@ -5,7 +5,6 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
 
 from jujuberun.flowtable import FlowEntry
 from jujuberun.ids import PoolId
@@ -190,9 +189,9 @@
         """Returns whether a start waits."""
         return any(waiting.contains(entry) for waiting in self._pools.values())
 
-    def list_pools(self) -> Iterable[tuple[PoolId | None, WaitingStarts]]:
+    def list_pools(self) -> list[tuple[PoolId | None, WaitingStarts]]:
         """Returns each pool with its waiting starts."""
-        return self._pools.items()
+        return list(self._pools.items())
 
     def has_precedence(
         self,
