Ask only peers of now for manifests that were missed

After a partition, a process could keep a history without the manifests that it had missed, so flows of protocols whose targets the manifest names could be taken for new ones.

Cause: peers that were noted before, during an earlier fetch, were asked first. One that had missed the same manifests answered that its history was complete. Change: a start of the fetch forgets the peers of before.

test_peers_of_before_are_not_asked fails on the code before.

--- a/jujuberun/history_fetcher.py
+++ b/jujuberun/history_fetcher.py
@@ -50,6 +50,10 @@
         self._transfer.history_complete = False
         self._tries_left = _MAX_TRIES
         self._start_count += 1
+        # Peers of before may have missed the same manifests without knowing.
+        self._peers.clear()
+        if self._peer_available.is_set():
+            self._peer_available = anyio.Event()
         self._started.set()
 
     def stop(self) -> None:
@@ -69,6 +73,8 @@
         while True:
             await self._started.wait()
             await self._peer_available.wait()
+            if not self._peers:
+                continue  # A new start has removed them.
             is_needed = self._generations.needs_history
             if is_needed:
                 await self._fetch_from_peer()
--- a/tests/test_history_fetcher.py
+++ b/tests/test_history_fetcher.py
@@ -38,6 +38,34 @@
         run_virtual(main)
         return len(fetches)
 
+    def test_peers_of_before_are_not_asked(self):
+        # Guards against a history that stays incomplete, because a peer that
+        # has missed the same manifests says that its own is complete.
+        asked = []
+
+        async def fetch_history(peer):
+            asked.append(peer)
+            return True
+
+        async def main():
+            transfer = SimpleNamespace(
+                fetch_history=fetch_history, history_complete=True
+            )
+            generations = Generations()
+            generations.offer(make_manifest(9), "peer", 0.0)
+            fetcher = HistoryFetcher(transfer, generations)
+            fetcher.add_peer(("10.0.0.1", 7100))
+            async with anyio.create_task_group() as group:
+                group.start_soon(fetcher.run)
+                fetcher.start()
+                await anyio.sleep(1)
+                fetcher.add_peer(("10.0.0.2", 7100))
+                await anyio.sleep(1)
+                group.cancel_scope.cancel()
+
+        run_virtual(main)
+        self.assertEqual([("10.0.0.2", 7100)], asked)
+
     def test_owned_flows_need_the_history(self):
         self.assertEqual(1, self.count_fetches(make_manifest(9)))
 
