--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,8 +6,15 @@
 import anyio
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from network import run_virtual
 from packetpath import PORT, Caller, Fleet, make_vm
-from platformstore import AGENT_PORT, make_configuration, make_entry, make_route
+from platformstore import (
+    AGENT_PORT,
+    FakeStore,
+    make_configuration,
+    make_entry,
+    make_route,
+)
 from test_restored_store import run_fleet
 from testtools import TestCase
 from testtools.matchers import LessThan
@@ -19,6 +26,7 @@
 from jujuberun.ids import VmId, VmState
 from jujuberun.manifest import parse_manifest
 from jujuberun.members import Members
+from jujuberun.source import DocumentKind
 from jujuberun.vm_list import parse_vm_list
 
 from adapter.documents import StoreEntry, translate_configuration  # isort: skip
@@ -100,6 +108,45 @@
             found = run_fleet(scenario, size=2)
             self.assertEqual([{"i-1": VmState.LEAVING}] * 2, found, key[:40])
 
+    def test_odd_key_at_the_end_of_a_page_ends_no_read(self):
+        # Guards against a key that cannot be passed on to the store as the
+        # start of the next page, and against a page that is read for ever.
+        async def scenario(fleet):
+            for key in ("", LONE, "i-1", "\ud801", "\ufffd", "\ufffd\ufffd"):
+                fleet.store.put(f"servers/{key}", make_entry())
+                fleet.store.put(f"op/evacuate/{key}", {})
+            fleet.add(9, ())
+            await anyio.sleep(2.0)
+            node = fleet.nodes[max(fleet.nodes)]
+            return set(node.members.current.vms), node.drains.domains
+
+        targets, domains = run_fleet(scenario, size=1)
+        self.assertIn("i-1", targets)
+        self.assertIn("i-1", domains)
+        self.assertNotIn(LONE, targets | domains)
+
+    def test_key_that_is_no_text_ends_the_list(self):
+        store = FakeStore()
+        for key in ("i-1", "i-2", "\ufffd"):
+            store.put(f"servers/{key}", make_entry())
+        read_page = store._read_page
+
+        def read_again(query):
+            # The bytes of the last key come after the text that stands for it.
+            found = read_page(query)
+            if query.get("after") == "servers/\ufffd":
+                found = {"items": [store.items["servers/\ufffd"]]}
+            return {**found, "HasMore": True}
+
+        store._read_page = read_again
+
+        async def run():
+            with anyio.fail_after(5):
+                return await store.make_source().fetch(DocumentKind.VMS, 0, 0)
+
+        vms = parse_vm_list(run_virtual(run).data).unwrap().vms
+        self.assertEqual({"i-1", "i-2", "\ufffd"}, set(vms))
+
     def test_entry_below_another_key_does_not_replace_a_target(self):
         # Guards against "servers/x/i-1", which was taken for target i-1.
         other = make_entry("10.9.9.9")
