Fetch a document again whose transfer failed

A balancer that got a version from no platform could lack it for a minute: a delta whose base it no longer held, or a damaged transfer, counted as a refused document, and no peer was asked for it for 60 s.

Change: only what the store of the document refuses is not fetched again. test_document_whose_transfer_failed_is_fetched_again fails on the code before.

--- a/jujuberun/peers_ahead.py
+++ b/jujuberun/peers_ahead.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from jujuberun.addresses import format_address
-from jujuberun.errors import JujuberunError, LinkError
+from jujuberun.errors import JujuberunError, LinkError, WireError
 from jujuberun.ids import Address, Rank
 from jujuberun.source import DocumentKind
 from jujuberun.transfer import DocumentStore, Transfer
@@ -151,16 +151,22 @@
         try:
             result = await self._transfer.fetch(self._kind, peer)
         except LinkError as error:
-            self._counts["failed-fetches"] += 1
-            logger.info("spread: cannot fetch %s: %s", self._kind.value, error)
-            self.peers_ahead.remove(peer)
+            self._record_failure(peer, error)
             return
         self._finish_fetch(peer, result)
 
+    def _record_failure(self, peer: Address, error: JujuberunError) -> None:
+        self._counts["failed-fetches"] += 1
+        logger.info("spread: cannot fetch %s: %s", self._kind.value, error)
+        self.peers_ahead.remove(peer)
+
     def _finish_fetch(
         self, peer: Address, result: Result[Any, JujuberunError]
     ) -> None:
         match result:
+            case Err(LinkError() | WireError() as error):
+                # The transfer failed; the document itself may be valid.
+                self._record_failure(peer, error)
             case Err(error):
                 self._counts["refused"] += 1
                 logger.error(
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -3,10 +3,11 @@
 import anyio
 import anyio.lowlevel
 from fleet import make_address, make_manifest, make_vms, run_virtual
+from result import Err
 from testtools import TestCase
 from testtools.matchers import GreaterThan, LessThan
 
-from jujuberun.errors import LinkError
+from jujuberun.errors import LinkError, WireError
 from jujuberun.generations import Generations
 from jujuberun.ids import VmId
 from jujuberun.members import Members, choose_watchers
@@ -347,6 +348,27 @@
 
         self.run_fleet(test, 2)
 
+    def test_document_whose_transfer_failed_is_fetched_again(self):
+        # Guards against a valid version that a process takes from no peer for
+        # a minute, because one delta could not be applied.
+        async def test(fleet):
+            one, other = (fleet.nodes[make_address(n)] for n in (0, 1))
+            fetcher = one.spread._fetchers[DocumentKind.MANIFEST]
+            for error in (
+                LinkError("fetch document", "", "unknown base"),
+                WireError("unpack document", "", "no zstd"),
+            ):
+                peers_ahead = fetcher.peers_ahead
+                peers_ahead.add(other.address, (7, 0), b"digest", 0.0)
+                fetcher._finish_fetch(other.address, Err(error))
+                self.assertIsNone(peers_ahead.choose((1, 0), random.Random(1)))
+                peers_ahead.add(other.address, (7, 0), b"digest", 0.5)
+                self.assertEqual(
+                    other.address, peers_ahead.choose((1, 0), random.Random(1))
+                )
+
+        self.run_fleet(test, 2)
+
     def test_malformed_status_and_loads(self):
         async def test(fleet):
             node = fleet.nodes[make_address(0)]
