Bound the watches of the product's own platform, too

With the defaults, a change of the platform's documents could be read 30 s late on a connection that went silent (25 s of wait and 5 s for the answer), and later on another idle one; the target is 5 s everywhere.

Change: a watch waits at most 2 s, its answer may take 2 s more, and each read opens a connection.

--- a/jujuberun/http_source.py
+++ b/jujuberun/http_source.py
@@ -13,8 +13,11 @@
     check_size,
 )
 
-ANSWER_TIMEOUT_S = 5.0  # in addition to the wait that a watch asks for
-CONNECT_TIMEOUT_S = 2.0
+# In addition to the wait that a watch asks for. With the longest wait, a watch
+# on a connection that went silent ends in time for a change to be in force
+# everywhere within 5 s.
+ANSWER_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
 
 
 class HttpSource:
@@ -50,6 +53,8 @@
             base_url=url,
             headers={"User-Agent": f"jujuberun/{vm}"},
             transport=make_transport() if make_transport else None,
+            # An open connection may have gone silent, so each read opens one.
+            limits=httpx.Limits(max_keepalive_connections=0),
             trust_env=False,
             # Loading the certificates takes tens of ms and tens of MB, so
             # they are loaded only for https.
--- a/jujuberun/settings.py
+++ b/jujuberun/settings.py
@@ -74,7 +74,7 @@
         True,
     )
     watch_wait: float = _define(
-        read_seconds, "Maximum seconds that a watch waits for a change.", 25.0
+        read_seconds, "Maximum seconds that a watch waits for a change.", 2.0
     )
     start_spread: float = _define(
         read_seconds,
--- a/jujuberun/watch.py
+++ b/jujuberun/watch.py
@@ -22,7 +22,9 @@
 )
 from jujuberun.transfer import DocumentStore
 
-WATCH_WAIT_S = 25.0
+# A change must be in force within 5 s. A watch may wait on a connection that
+# went silent, and ends at this time and the time limit of its answer.
+WATCH_WAIT_S = 2.0
 # Limits the reads of a watcher if the platform answers its watches at once.
 MIN_WATCH_INTERVAL_S = 0.5
 LOCAL_RETRY_DELAY_S = 1.0
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -10,7 +10,7 @@
 from jujuberun import source as source_module
 from jujuberun.delta import MAX_DOCUMENT_BYTES
 from jujuberun.errors import SourceError
-from jujuberun.http_source import HttpSource
+from jujuberun.http_source import ANSWER_TIMEOUT_S, HttpSource
 from jujuberun.ids import VmId
 from jujuberun.settings import PlatformSettings
 from jujuberun.source import (
@@ -20,7 +20,9 @@
     choose_backoff,
     make_source,
 )
+from jujuberun.spread import GOSSIP_PERIOD_S
 from jujuberun.standin_platform import Mode, Platform
+from jujuberun.watch import FIRST_RETRY_S, WATCH_WAIT_S
 
 
 async def read_error(source, wait=0.0):
@@ -109,6 +111,21 @@
 
         self.run_platform(test)
 
+    def test_silent_connection_is_found_out_in_time(self):
+        # Guards against a change that is read late: a watch waited 25 s and
+        # 5 s more on a connection that had gone silent, and the next read could
+        # be on another such one.
+        in_force_s = 5.0
+        found_out = WATCH_WAIT_S + ANSWER_TIMEOUT_S + FIRST_RETRY_S
+        self.assertThat(found_out, LessThan(in_force_s - GOSSIP_PERIOD_S / 2))
+
+        async def test(platform, source):
+            await source.fetch(DocumentKind.MANIFEST, 0, 0)
+            pool = source._client._transport._pool
+            self.assertEqual([], pool.connections)
+
+        self.run_platform(test)
+
     def test_unreachable_platform(self):
         async def test(platform, source):
             unreachable = HttpSource.from_config(
