Let open connections go silent in the soak

The soak could only let all bytes of a link be lost, new connections included. Its new fault silences some or all open connections to the store, at times those between daemons too, while the configuration changes.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -123,6 +123,26 @@
             await proxy.reset_connections()
 
 
+async def silence_connections(world: World, rng: random.Random) -> None:
+    """Silences open connections while the configuration changes.
+
+    Some or all of those to the store go silent for good, at times those
+    between daemons too; new ones work.
+    """
+    silences_peers = rng.random() < 0.5
+    share = rng.choice([0.3, 1.0])
+    for _ in range(rng.randint(1, 3)):
+        async with anyio.create_task_group() as group:
+            group.start_soon(change_configuration, world, rng)
+            await _wait_random(rng, 0.0, 1.0)
+            names = _list_names([*world.daemons, *world.agents])
+            with world.promises.mark_disturbed(names):
+                for proxy in world.store_proxies:
+                    proxy.silence_connections(rng, share)
+                if silences_peers:
+                    world.proxy.silence_connections()
+
+
 async def harm_store_links(world: World, rng: random.Random) -> None:
     """Disturbs the links of some balancers to the store.
 
@@ -275,6 +295,7 @@
     cut_some,
     harm_links,
     reset_connections,
+    silence_connections,
     harm_store_links,
     harm_store,
     forget_history,
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -54,6 +54,7 @@
         self._group = group
         self._ports: dict[Address, SocketPort] = {}
         self._open_streams: set[SocketStream] = set()
+        self._silent_streams: set[SocketStream] = set()
 
     async def start(self) -> None:
         """Binds the ports of all alias addresses and forwards their traffic."""
@@ -72,6 +73,10 @@
         for stream in list(self._open_streams):
             await anyio.aclose_forcefully(stream)
 
+    def silence_connections(self) -> None:
+        """Lets open connections deliver nothing more; new ones work."""
+        self._silent_streams |= self._open_streams
+
     async def _forward_datagrams(self, port: SocketPort, host: Host) -> None:
         number = port.address[1]
         while True:
@@ -110,13 +115,21 @@
                 return
             self._open_streams |= {stream, out}
             async with out:
+                silent = self._silent_streams
                 await _copy_both_ways(
                     stream,
                     out,
-                    lambda: self._links.passes(name, host.name),
-                    lambda: self._links.passes(host.name, name),
+                    lambda: (
+                        out not in silent
+                        and self._links.passes(name, host.name)
+                    ),
+                    lambda: (
+                        out not in silent
+                        and self._links.passes(host.name, name)
+                    ),
                 )
             self._open_streams -= {stream, out}
+            self._silent_streams -= {stream, out}
 
 
 @dataclass(slots=True)
@@ -138,6 +151,8 @@
     refuses: bool = False
     delay: float = 0.0
     _open_streams: set[SocketStream] = field(default_factory=set)
+    _connections: list[SocketStream] = field(default_factory=list)
+    _silent_streams: set[SocketStream] = field(default_factory=set)
 
     @property
     def is_disturbed(self) -> bool:
@@ -157,6 +172,17 @@
         for stream in list(self._open_streams):
             await anyio.aclose_forcefully(stream)
 
+    def silence_connections(self, rng: random.Random, share: float) -> None:
+        """Lets open connections deliver nothing more; new ones work.
+
+        Args:
+            rng: chooses the connections.
+            share: probability with which each one goes silent.
+        """
+        self._silent_streams |= {
+            stream for stream in self._connections if rng.random() < share
+        }
+
     async def _relay(self, stream: SocketStream) -> None:
         async with stream:
             if self.refuses:
@@ -166,15 +192,21 @@
             except OSError:
                 return
             self._open_streams |= {stream, out}
+            self._connections.append(stream)
+            silent = self._silent_streams
             async with out:
                 await _copy_both_ways(
                     stream,
                     out,
-                    lambda: not self.silent,
-                    lambda: not (self.silent or self.deaf),
+                    lambda: not self.silent and stream not in silent,
+                    lambda: (
+                        not (self.silent or self.deaf) and stream not in silent
+                    ),
                     lambda: self.delay,
                 )
             self._open_streams -= {stream, out}
+            self._connections.remove(stream)
+            self._silent_streams.discard(stream)
 
 
 async def _copy_both_ways(
