Test that a version reaches a balancer past a silent link to a peer

A balancer without the store has the version within 3 s although its first call to a peer gets no answer.

--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -14,7 +14,7 @@
 from testtools import ExpectedException, TestCase
 from testtools.matchers import LessThan
 
-from jujuberun.errors import SourceError
+from jujuberun.errors import LinkError, SourceError
 from jujuberun.ids import VmState
 from jujuberun.source import DocumentKind
 from jujuberun.watch import ReadPace
@@ -43,7 +43,9 @@
 
     def make_source(self, vm):
         network = self.networks[vm] = StoreNetwork(self.store)
-        return StoreSource.from_config("http://store", AGENT_PORT, network)
+        source = StoreSource.from_config("http://store", AGENT_PORT, network)
+        self.sources[vm] = source
+        return source
 
     def silence(self):
         for network in self.networks.values():
@@ -137,6 +139,33 @@
             lag = run_fleet(lambda f, s=silent_after: scenario(f, s), 3)
             self.assertThat(lag, LessThan(DRAIN_S), silent_after)
 
+    def test_configuration_comes_from_a_peer_in_time(self):
+        # Guards against a balancer without the store that waits for a peer
+        # whose connection is silent. The silent call is the first one, to any
+        # of the peers.
+        async def scenario(fleet):
+            address = max(fleet.nodes)
+            node = fleet.nodes[address]
+            fleet.cut_off(address)
+            call, calls = node.link.call, []
+
+            async def hang_once(peer, message, timeout):
+                calls.append(peer)
+                if len(calls) == 1:
+                    await anyio.sleep(timeout)
+                    raise LinkError("call peer", "", "no reply", True)
+                return await call(peer, message, timeout)
+
+            node.link.call = hang_once
+            await anyio.sleep(2.0)
+            calls.clear()
+            fleet.publish(30)
+            return await measure(lambda: fleet.generations() == {30}), calls
+
+        lag, calls = run_fleet(scenario, 4)
+        self.assertThat(1, LessThan(len(calls)))
+        self.assertThat(lag, LessThan(IN_FORCE_S))
+
     def test_restarted_balancer_reads_the_newest_configuration(self):
         # Guards against a start that waits for connections of other balancers.
         async def scenario(fleet):
