--- a/jujuberun/members.py
+++ b/jujuberun/members.py
@@ -227,7 +227,7 @@
         vms = {
             name: vm
             for name, vm in vm_list.vms.items()
-            if _is_target(vm, balancers)
+            if _is_usable(vm, balancers)
         }
         left_out = len(vm_list.vms) - len(vms)
         if not left_out:
@@ -252,7 +252,8 @@
             listener(self.current)
 
 
-def _is_target(vm: Vm, balancers: Collection[str]) -> bool:
+def _is_usable(vm: Vm, balancers: Collection[str]) -> bool:
+    # What is sent to an agent at the host of a balancer does not reach it.
     return vm.role is not Role.AGENT or vm.peer[0] not in balancers
 
 
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -339,9 +339,8 @@
             self._waiting.record_unanswered(candidate.pool, entry, now)
         if declined.draining:
             self._reports.avoid_stopping_agent(candidate, now)
-        if entry.start_packet is None or entry.is_accepted:
-            return
-        if any(not offer.timed_out for offer in entry.offers):
+        is_open = any(not offer.timed_out for offer in entry.offers)
+        if is_open or entry.start_packet is None or entry.is_accepted:
             return
         if self._waiting.contains(entry):
             return
