--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -328,6 +328,20 @@
             manifest = parse_manifest(translate_configuration(data, 0)).unwrap()
             self.assertEqual({"r-1"}, set(manifest.services), changes)
 
+    def test_routes_of_one_name_are_all_in_force(self):
+        # Guards against an added route that is not served, because another
+        # one has its name: callers know only the addresses.
+        routes = [
+            make_route(port=443),
+            make_route(port=444),
+            make_route(port=445, Name=None),
+            make_route(port=446, Name="x" * 64),
+        ]
+        data = json.dumps(make_configuration(7, *routes)).encode()
+        manifest = parse_manifest(translate_configuration(data, 0)).unwrap()
+        ports = [s.address[1] for s in manifest.services.values()]
+        self.assertEqual([443, 444, 445, 446], ports)
+
     def test_odd_time_stands_for_the_default(self):
         for value in (10**400, -1, "soon", None, True, 86_400_001):
             document = make_configuration(7, make_route(SloMs=value))
