Let agents not deny flows that are older than themselves

What callers saw: a flow that had been open and in use for over 60 s since the agent beside its target was restarted, or since the agent removed it when idle for 20 s, was reset when it moved to another balancer.

Cause: an agent tracks flows from their starts only. 60 s after its start it claims to know all flows of its target, because a target discards flows without packets within that time. A flow in use is not discarded, however old it is, so the agent answered 'not held', which counts like a bounce.

Change: a packet of the target in a flow that is not tracked records its key with those of removed flows, about which the agent gives no answer; the balancer then asks the target with the packet.

test_flows_in_use_since_before_an_agent_are_left_to_the_packet fails before ('0 != 1' resets) for the restarted agent, and passes now.

--- a/jujuberun/ownersearch/held_flows.py
+++ b/jujuberun/ownersearch/held_flows.py
@@ -23,8 +23,9 @@
     """Answers a balancer that asks for flows by their keys.
 
     A flow that the agent has removed may still be at its target, which keeps
-    flows without packets for longer. The agent gives no answer about it, so
-    that the balancer asks the target with a packet.
+    flows without packets for longer, and so may a flow that began before the
+    agent. The agent gives no answer about them, so that the balancer asks the
+    target with a packet.
     """
 
     def __init__(
@@ -56,12 +57,15 @@
 
     def record_removal(self, flow: SidecarFlow) -> None:
         """Records a flow that the agent tracks no more."""
-        self._removed[flow.key] = flow.used_at
-        self._removed.move_to_end(flow.key)
-        if len(self._removed) > MAX_REMOVED_FLOWS:
-            _, used_at = self._removed.popitem(last=False)
-            until = used_at + FLOW_LIFETIME_S
-            self._unsure_until = max(self._unsure_until, until)
+        self._remember(flow.key, flow.used_at)
+
+    def record_use(self, key: bytes, now: float) -> None:
+        """Records a packet of the target in a flow that is not tracked.
+
+        The flow began before the agent did, or was idle for so long that the
+        agent removed it.
+        """
+        self._remember(key, now)
 
     def forget(self, key: bytes) -> None:
         """Forgets a flow that the target does not hold."""
@@ -76,6 +80,14 @@
                 return
             del self._removed[key]
 
+    def _remember(self, key: bytes, used_at: float) -> None:
+        self._removed[key] = used_at
+        self._removed.move_to_end(key)
+        if len(self._removed) > MAX_REMOVED_FLOWS:
+            _, used_at = self._removed.popitem(last=False)
+            until = used_at + FLOW_LIFETIME_S
+            self._unsure_until = max(self._unsure_until, until)
+
     def _handle_locate(self, message: Any, sender: Address, now: float) -> None:
         """Answers which of the flows the target holds."""
         self.expire(now)
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -299,6 +299,8 @@
             self._send_accepted(frame.key, received, inquiry.balancer)
         flow = self._flows.get(frame.key)
         if flow is None:
+            if not frame.resets:
+                self.held_flows.record_use(frame.key, now)
             return
         flow.used_at = now
         if frame.starts and not flow.accepted:
--- a/tests/test_flow_locator.py
+++ b/tests/test_flow_locator.py
@@ -96,6 +96,28 @@
         self.assertLessEqual(self.ask(fleet, caller, 0.05), 7)
         self.assertEqual(1, caller.answers)
 
+    def test_flows_in_use_since_before_an_agent_are_left_to_the_packet(self):
+        # Guards against a reset of a flow that is older than its agent, or was
+        # idle until the agent removed it: 60 s later the agent denied it.
+        for is_restarted in (True, False):
+            fleet, caller, ranked = self.make()
+            owner = ranked[40]
+            if is_restarted:
+                owner.stop_agent()
+                owner.start_agent()
+            else:
+                owner.sidecar.expire(fleet.net.now + 21)
+            for _ in range(14):
+                caller.send_request(fleet.balancers[0])
+                fleet.run(5, step=0.5)
+                owner.sidecar.expire(fleet.net.now)
+            fleet.restart_balancer(1)
+            fleet.run(2.5, step=0.5)  # the list of targets counts as complete
+            answers = caller.answers
+            self.ask(fleet, caller, 0.7)
+            self.assertEqual(0, caller.resets)
+            self.assertEqual(answers + 1, caller.answers)
+
     def test_a_clock_that_jumps_leaves_the_flow_to_the_packet(self):
         # Guards against an agent that seems to be as old as its target or
         # older, because the clock was set back before its restart.
