Search other pools before a flow counts as lost

Cause: a balancer asks the targets of the pools that it knows for a service: those in force, and for 60 s those that it saw replaced. A process that started later knows no former pool; neither does one that skipped a version, is behind, or saw the change more than 60 s ago. Two further holes of the same kind: the pools of a search stayed those of its first packet, and a silent target of the current pool was taken for the owner, or waited for, without any other pool being asked.

Change: before a search ends, or goes on with a silent target, the agents of all targets are asked at which service addresses they hold flows. Targets whose agents name the address become candidates; those of agents that cannot know are asked as usual. What survives is the targets, so no memory of balancers is needed. A removed route is refused as before.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -245,9 +245,9 @@
         self.bounced_by.add(target)
         self.bounced_at = now
 
-    def start_search(self, frame: Frame, data: bytes) -> FlowSearch:
+    def start_search(self, frame: Frame, data: bytes, now: float) -> FlowSearch:
         """Starts the search for the owner with a packet of the flow."""
-        self.search = FlowSearch(frame, data)
+        self.search = FlowSearch(frame, data, now)
         if self.unanswered_since < math.inf:
             # The confirmed owner may be alive until it was silent for longer.
             self.search.progress_at = self.unanswered_since
--- a/jujuberun/frames.py
+++ b/jujuberun/frames.py
@@ -116,6 +116,11 @@
     return inet_ntoa(key[6:10]), int.from_bytes(key[10:12], "big")
 
 
+def get_service(key: bytes) -> bytes:
+    """Returns the packed service address from a flow key."""
+    return key[6:]
+
+
 def get_copy_delay(copy: int) -> float:
     """Returns the seconds from a caller's first start packet to a copy."""
     return COPY_DELAYS_S[min(copy, len(COPY_DELAYS_S) - 1)]
--- a/jujuberun/jujuberun.thrift
+++ b/jujuberun/jujuberun.thrift
@@ -261,6 +261,20 @@
   3: i64 running                // since that start, by a monotonic clock
 }
 
+// Asks an agent at which service addresses its target may hold flows. Agents of
+// earlier versions ignore it.
+struct ListAddresses {
+  1: i64 token
+}
+
+struct HeldAddresses {
+  1: i64 token                  // of the ListAddresses that this one answers
+  2: list<binary> addresses     // packed service addresses
+  3: bool complete              // false: there may be flows at others
+  4: i64 started                // start of the agent, wall clock
+  5: i64 running                // since that start, by a monotonic clock
+}
+
 struct Envelope {
   1: i64 sender                 // incarnation of the sending process
   2: i64 sequence               // counted for each receiver
@@ -291,6 +305,8 @@
   33: optional RunReply run_reply
   34: optional Locate locate
   35: optional NotHeld not_held
+  36: optional ListAddresses list_addresses
+  37: optional HeldAddresses held_addresses
   40: optional FetchHistory fetch_history
   41: optional History history
 }
--- a/jujuberun/messages.py
+++ b/jujuberun/messages.py
@@ -716,6 +716,44 @@
         self.running = running
 
 
+class ListAddresses(TPayload):
+    _ttype = TType.STRUCT
+    thrift_spec = {
+        1: (TType.I64, "token", False),
+    }
+
+    def __init__(
+        self,
+        token=None,
+    ):
+        self.token = token
+
+
+class HeldAddresses(TPayload):
+    _ttype = TType.STRUCT
+    thrift_spec = {
+        1: (TType.I64, "token", False),
+        2: (TType.LIST, "addresses", TType.BINARY, False),
+        3: (TType.BOOL, "complete", False),
+        4: (TType.I64, "started", False),
+        5: (TType.I64, "running", False),
+    }
+
+    def __init__(
+        self,
+        token=None,
+        addresses=None,
+        complete=None,
+        started=None,
+        running=None,
+    ):
+        self.token = token
+        self.addresses = addresses
+        self.complete = complete
+        self.started = started
+        self.running = running
+
+
 class Envelope(TPayload):
     _ttype = TType.STRUCT
     thrift_spec = {
@@ -748,6 +786,8 @@
         33: (TType.STRUCT, "run_reply", RunReply, False),
         34: (TType.STRUCT, "locate", Locate, False),
         35: (TType.STRUCT, "not_held", NotHeld, False),
+        36: (TType.STRUCT, "list_addresses", ListAddresses, False),
+        37: (TType.STRUCT, "held_addresses", HeldAddresses, False),
         40: (TType.STRUCT, "fetch_history", FetchHistory, False),
         41: (TType.STRUCT, "history", History, False),
     }
@@ -783,6 +823,8 @@
         run_reply=None,
         locate=None,
         not_held=None,
+        list_addresses=None,
+        held_addresses=None,
         fetch_history=None,
         history=None,
     ):
@@ -815,6 +857,8 @@
         self.run_reply = run_reply
         self.locate = locate
         self.not_held = not_held
+        self.list_addresses = list_addresses
+        self.held_addresses = held_addresses
         self.fetch_history = fetch_history
         self.history = history
 
--- a/jujuberun/owner_search.py
+++ b/jujuberun/owner_search.py
@@ -17,7 +17,8 @@
 from jujuberun.ownersearch.answer_clock import AnswerClock
 from jujuberun.ownersearch.flow_search import FlowSearch, expects_answer
 from jujuberun.ownersearch.lost_flow_handler import LostFlowHandler
-from jujuberun.ownersearch.lost_search import LostSearchAction
+from jujuberun.ownersearch.lost_search import LostSearchAction, may_ask_pools
+from jujuberun.ownersearch.other_pools import OtherPools
 from jujuberun.ownersearch.possible_owners import PossibleOwners
 from jujuberun.ownersearch.search_sender import SearchSender
 from jujuberun.ownersearch.search_step import (
@@ -94,7 +95,19 @@
             port.port_number,
             self._continue_answered,
         )
-        self._owners = PossibleOwners(steering, self._lost_flows)
+        self._other_pools = OtherPools(
+            peers,
+            steering,
+            services,
+            self._clock,
+            counts,
+            port.port_number,
+            self.mark_changed,
+            self._continue_after_round,
+        )
+        self._owners = PossibleOwners(
+            steering, self._lost_flows, self._other_pools
+        )
         self._timers: SearchTimers[FlowEntry] = SearchTimers()
         self._timers_changed = anyio.Event()
 
@@ -104,6 +117,7 @@
             "timeout_s": round(self._clock.timeout, 3),
             "timers": len(self._timers),
             "waiting_keys": self._inquiries.count_waiting(),
+            "other_pools": self._other_pools.describe(),
         }
 
     def mark_changed(self) -> None:
@@ -242,8 +256,10 @@
     ) -> None:
         """Starts a search anew that found no owner some time ago."""
         is_old = now - entry.bounced_at > BOUNCE_RETENTION_S
-        if search.is_over and is_old and search.recheck_at == math.inf:
+        is_waiting = search.awaits_pools or search.recheck_at < math.inf
+        if search.is_over and is_old and not is_waiting:
             entry.restart_search()
+            search.begun_at = now
 
     def _find_owner(self, entry: FlowEntry, frame: Frame) -> TargetState | None:
         """Returns the target whose agent confirmed a flow, or None."""
@@ -265,13 +281,14 @@
                 # The owner bounced: the packet follows the end of the flow.
                 self._counts["dropped_no_owner"] += 1
                 return
-            search = entry.start_search(frame, data)
+            search = entry.start_search(frame, data, now)
         else:
             search.record_packet(frame, data, now)
         self._owners.refresh(entry, search, now)
         left = search.find_only_left(entry.bounced_by)
         inputs = self._get_inputs(entry, now)
-        if left is not None and now < find_death(search, inputs, left):
+        is_owner = left is not None and self._is_covered(entry, search)
+        if is_owner and now < find_death(search, inputs, left):
             self._sender.send_to_only_left(search, left, data, now)
             self._set_timer(entry, search, find_due(search, inputs, now))
             return
@@ -289,8 +306,14 @@
         match step:
             case NoneLeft(silent):
                 search.is_over = True
-                action = self._lost_flows.handle(entry, search, silent, now)
-                if action is LostSearchAction.REPEAT:
+                is_covered = self._is_covered(entry, search)
+                action = self._lost_flows.handle(
+                    entry, search, silent, is_covered, now
+                )
+                if action is LostSearchAction.ASK_POOLS:
+                    self._set_timer(entry, search, math.inf)
+                    self._ask_other_pools(entry, search)
+                elif action is LostSearchAction.REPEAT:
                     self._repeat_search(entry, search, now)
                 else:
                     self._set_timer(entry, search, search.recheck_at)
@@ -307,19 +330,42 @@
                 self._inquiries.ask(entry, search, targets, now)
                 self._timers_changed.set()
         if not search.list_unasked(entry.bounced_by):
-            self._end_pass(entry, search, now)
+            self._end_pass(entry, search, trigger, now)
         is_waiting = isinstance(step, Wait)
         due = step.until if is_waiting else find_due(search, inputs, now)
         self._set_timer(entry, search, due)
 
+    def _is_covered(self, entry: FlowEntry, search: FlowSearch) -> bool:
+        """Returns whether the agents of other pools were asked, too."""
+        pools = self._lost_flows.list_pools(entry)
+        return self._other_pools.is_covered(search, pools)
+
+    def _ask_other_pools(self, entry: FlowEntry, search: FlowSearch) -> None:
+        self._other_pools.ask(entry, search)
+        self._timers_changed.set()
+
     def _end_pass(
-        self, entry: FlowEntry, search: FlowSearch, now: float
+        self,
+        entry: FlowEntry,
+        search: FlowSearch,
+        trigger: Trigger,
+        now: float,
     ) -> None:
-        """Sends kept packets to the target that is left after all bounced."""
+        """Handles a search that has asked all targets.
+
+        Sends kept packets to the target that is left after all others bounced.
+        A silent target does not keep the agents of other pools from being
+        asked.
+        """
         if search.first_pass_at is None:
             search.first_pass_at = now
         left = search.find_only_left(entry.bounced_by)
-        if left is not None and search.packets:
+        if left is None and trigger is not Trigger.TIMER:
+            return
+        if not self._is_covered(entry, search):
+            if may_ask_pools(search, now):
+                self._ask_other_pools(entry, search)
+        elif left is not None and search.packets:
             self._counts["owners_left_over"] += 1
             self._lost_flows.write_log(
                 entry,
@@ -363,7 +409,11 @@
         """Continues searches when they are due, until cancelled."""
         while True:
             self._timers_changed = anyio.Event()
-            next_at = min(self._timers.next_at, self._inquiries.next_at)
+            next_at = min(
+                self._timers.next_at,
+                self._inquiries.next_at,
+                self._other_pools.find_next_at(),
+            )
             with anyio.CancelScope(deadline=next_at):
                 await self._timers_changed.wait()
             now = anyio.current_time()
@@ -372,6 +422,7 @@
     def check_timers(self, now: float) -> None:
         """Continues the searches that are due."""
         self._inquiries.flush(now)
+        self._other_pools.check(now)
         for entry, search in self._timers.take_due(now):
             if entry.search is search and self._flows.contains(entry):
                 self._continue(entry, search, now)
@@ -383,6 +434,14 @@
         if not search.is_over:
             self._advance(entry, search, Trigger.BOUNCE, now)
 
+    def _continue_after_round(
+        self, entry: FlowEntry, search: FlowSearch, now: float
+    ) -> None:
+        """Continues a search that waited for the agents of other pools."""
+        search.awaits_pools = False
+        if entry.search is search and self._flows.contains(entry):
+            self._advance(entry, search, Trigger.BOUNCE, now)
+
     def _continue(
         self, entry: FlowEntry, search: FlowSearch, now: float
     ) -> None:
--- a/jujuberun/ownersearch/flow_search.py
+++ b/jujuberun/ownersearch/flow_search.py
@@ -55,9 +55,14 @@
         frame: header of the packet that is sent to targets.
         packet: that packet: the last one that requests an answer, or the last
             one if none did.
+        begun_at: time at which the flow was known to be open; the search began
+            then.
         candidates: targets that may hold the flow, the most likely first.
         offered: number of candidates, from the first one, that the start was
             offered to.
+        unsure: candidates of pools that are not known to be of the service,
+            whose agents did not say at which addresses they hold flows.
+        awaits_pools: whether the search waits for the agents of other pools.
         may_locate: whether agents are asked for the flow by its key; only where
             registrations state the starts of targets.
         list_version: version of the list of targets of the candidates.
@@ -86,8 +91,11 @@
 
     frame: Frame
     packet: bytes
+    begun_at: float
     candidates: Sequence[TargetId] = ()
     offered: int = 0
+    unsure: frozenset[TargetId] = frozenset()
+    awaits_pools: bool = False
     may_locate: bool = False
     list_version: int = -1
     inquiries: dict[TargetId, Inquiry] = field(default_factory=dict)
--- a/jujuberun/ownersearch/held_flows.py
+++ b/jujuberun/ownersearch/held_flows.py
@@ -5,15 +5,26 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from jujuberun.frames import get_service
 from jujuberun.ids import Address
 from jujuberun.ownersearch.agent_flow import SidecarFlow
 from jujuberun.ownersearch.agent_knowledge import FLOW_LIFETIME_S
 from jujuberun.peers import Peers
-from jujuberun.wire import Locate, NotHeld, read_wall_clock
+from jujuberun.wire import (
+    HeldAddresses,
+    ListAddresses,
+    Locate,
+    NotHeld,
+    read_wall_clock,
+)
 
 # Flows that were removed within FLOW_LIFETIME_S, at 300 flows a second, more
 # than a target takes. They need about 3 MB.
 MAX_REMOVED_FLOWS = 20_000
+# An address has 6 bytes and its length 4, so that a message with its envelope
+# and MAC is no longer than a full packet of 1,232 bytes. A service has about 10
+# addresses.
+MAX_ADDRESSES_PER_MESSAGE = 100
 
 # Sends Accepted: key, first sequence number, peer address of the balancer.
 SendAccepted = Callable[[bytes, int, Address], None]
@@ -53,11 +64,19 @@
         self._first_at = math.inf
         # End of the life of the flows that did not fit into the memory.
         self._unsure_until = -math.inf
+        # Number of tracked and removed flows at each service address.
+        self._addresses: Counter[bytes] = Counter()
         peers.register(Locate, self._handle_locate)
+        peers.register(ListAddresses, self._handle_list)
+
+    def record_flow(self, key: bytes) -> None:
+        """Records a flow that the agent tracks from now on."""
+        self._addresses[get_service(key)] += 1
 
     def record_removal(self, flow: SidecarFlow) -> None:
         """Records a flow that the agent tracks no more."""
         self._remember(flow.key, flow.used_at)
+        self._drop_address(flow.key)
 
     def record_use(self, key: bytes, now: float) -> None:
         """Records a packet of the target in a flow that is not tracked.
@@ -69,7 +88,8 @@
 
     def forget(self, key: bytes) -> None:
         """Forgets a flow that the target does not hold."""
-        self._removed.pop(key, None)
+        if self._removed.pop(key, None) is not None:
+            self._drop_address(key)
 
     def expire(self, now: float) -> None:
         """Forgets removed flows that the target has discarded too."""
@@ -79,15 +99,26 @@
             if now - self._removed[key] <= FLOW_LIFETIME_S:
                 return
             del self._removed[key]
+            self._drop_address(key)
 
     def _remember(self, key: bytes, used_at: float) -> None:
+        if key not in self._removed:
+            self._addresses[get_service(key)] += 1
         self._removed[key] = used_at
         self._removed.move_to_end(key)
         if len(self._removed) > MAX_REMOVED_FLOWS:
-            _, used_at = self._removed.popitem(last=False)
+            evicted, used_at = self._removed.popitem(last=False)
+            self._drop_address(evicted)
             until = used_at + FLOW_LIFETIME_S
             self._unsure_until = max(self._unsure_until, until)
 
+    def _drop_address(self, key: bytes) -> None:
+        """Counts a flow less at its service address."""
+        address = get_service(key)
+        self._addresses[address] -= 1
+        if not self._addresses[address]:
+            del self._addresses[address]
+
     def _handle_locate(self, message: Any, sender: Address, now: float) -> None:
         """Answers which of the flows the target holds."""
         self.expire(now)
@@ -100,5 +131,27 @@
             elif flow is None and key not in self._removed:
                 missing.append(key)
         if missing and now > self._unsure_until:
-            running = round((now - self._first_at) * 1000)
+            running = self._compute_running(now)
             self._peers.send(NotHeld(missing, self.started, running), sender)
+
+    def _handle_list(self, message: Any, sender: Address, now: float) -> None:
+        """Answers at which service addresses the target may hold flows."""
+        self.expire(now)
+        addresses = list(self._addresses)
+        is_complete = (
+            now > self._unsure_until
+            and len(addresses) <= MAX_ADDRESSES_PER_MESSAGE
+        )
+        answer = HeldAddresses(
+            message.token,
+            addresses[:MAX_ADDRESSES_PER_MESSAGE],
+            is_complete,
+            self.started,
+            self._compute_running(now),
+        )
+        self._counts["addresses_listed"] += 1
+        self._peers.send(answer, sender)
+
+    def _compute_running(self, now: float) -> int:
+        """Returns ms since the start of the agent."""
+        return round((now - self._first_at) * 1000)
--- a/jujuberun/ownersearch/lost_flow_handler.py
+++ b/jujuberun/ownersearch/lost_flow_handler.py
@@ -61,6 +61,7 @@
         entry: FlowEntry,
         search: FlowSearch,
         silent: tuple[TargetId, ...],
+        is_covered: bool,
         now: float,
     ) -> LostSearchAction:
         """Handles a flow that no target holds, as far as they answer.
@@ -69,14 +70,17 @@
             entry: the flow.
             search: its search; gets the time of the next one.
             silent: targets whose agents do not run.
+            is_covered: whether the agents of other pools were asked, too.
             now: seconds, monotonic.
 
         Returns:
-            What was done; the caller carries out a REPEAT.
+            What was done; the caller carries out ASK_POOLS and REPEAT.
         """
         has_lost_owner = entry.is_accepted and not silent
         listed = self.check_list(entry, now)
-        action = decide_lost_search(search, has_lost_owner, listed)
+        action = decide_lost_search(
+            search, has_lost_owner, is_covered, listed, now
+        )
         match action:
             case LostSearchAction.DROP:
                 self._counts["dropped_no_owner"] += 1
@@ -97,8 +101,8 @@
 
     def list_pools(self, entry: FlowEntry) -> tuple[PoolId, ...]:
         """Returns the current and the former pools of a flow's service."""
-        former = self._services.list_former_pools(unpack_service(entry.key))
-        return tuple(dict.fromkeys((*entry.pool_ids, *former)))
+        known = self._services.list_pools(unpack_service(entry.key))
+        return tuple(dict.fromkeys((*entry.pool_ids, *known)))
 
     def write_log(
         self, entry: FlowEntry, kind: str, now: float, **fields: Any
--- a/jujuberun/ownersearch/search_step.py
+++ b/jujuberun/ownersearch/search_step.py
@@ -47,6 +47,9 @@
 # An agent that sends nothing for this time although packets were sent to it
 # does not run. Agents restart within 0.6 s, callers give up after 2.7 s.
 SILENCE_LIMIT_S = 2.5
+# The same for a registered target of a pool that is not known to be of the
+# service. Both ends of a flow give up after about 10 s without an answer.
+UNSURE_SILENCE_LIMIT_S = 10.0
 
 
 class Trigger(Enum):
@@ -323,16 +326,19 @@
 ) -> float:
     """Returns from when on a target's agent counts as not running.
 
-    A registered target may hold the flow, however long its agent is silent: the
-    agent may be paused or cut off. While the caller makes progress, a target
-    answers it, so none is dead. On a full link, answers are late rather than
-    missing: none is dead before an inquiry that was sent well after the silence
-    began has been answered.
+    A registered target of the service may hold the flow, however long its agent
+    is silent: the agent may be paused or cut off. While the caller makes
+    progress, a target answers it, so none is dead. On a full link, answers are
+    late rather than missing: none is dead before an inquiry that was sent well
+    after the silence began has been answered.
     """
+    limit = SILENCE_LIMIT_S
     if inputs.is_listed(target):
-        return math.inf
+        if target not in search.unsure:
+            return math.inf
+        limit = UNSURE_SILENCE_LIMIT_S
     since = max(inputs.find_silence(target), search.progress_at)
     is_late = inputs.timeout >= MAX_TIMEOUT_S
     if is_late and inputs.answered_until < since + OWNER_SILENCE_S:
         return math.inf
-    return since + SILENCE_LIMIT_S
+    return since + limit
--- a/jujuberun/servicemap.py
+++ b/jujuberun/servicemap.py
@@ -6,7 +6,8 @@
 from jujuberun.manifest import Manifest, Service
 
 # Flows that were opened in a pool stay there when their service moves to
-# another pool, so former pools are remembered for this long.
+# another pool. For this long, a balancer that saw the move asks the former pool
+# at once; later, and at other balancers, `ownersearch.other_pools` finds it.
 FORMER_POOL_RETENTION_S = 60.0
 
 
@@ -68,9 +69,13 @@
                 return service
         return None
 
-    def list_former_pools(self, address: Address) -> tuple[PoolId, ...]:
-        """Returns the pools that the service at an address had before."""
-        return tuple(self._former_pools.get(address, ()))
+    def list_pools(self, address: Address) -> tuple[PoolId, ...]:
+        """Returns the pools of the service at an address, former ones last."""
+        service = self._services.get(address)
+        current = () if service is None else service.pools
+        former = self._former_pools.get(address, ())
+        names = (*(share.pool for share in current), *former)
+        return tuple(dict.fromkeys(names))
 
     def expire(self, now: float) -> None:
         """Removes pools that were replaced over FORMER_POOL_RETENTION_S ago."""
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -346,6 +346,7 @@
     def _add(self, flow: SidecarFlow) -> None:
         self.counts["flows_created"] += 1
         self._flows[flow.key] = flow
+        self.held_flows.record_flow(flow.key)
         self._busy.add()
         if len(self._flows) > MAX_FLOWS:
             self._remove(next(iter(self._flows.values())))
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -109,6 +109,19 @@
         """Returns the targets of an agent, registered ones first."""
         return self._by_agent.get(agent, [])
 
+    def list_agents(self) -> tuple[list[Address], list[Address]]:
+        """Returns all agents, and those of them with a registered target."""
+        listed = [
+            agent
+            for agent, candidates in self._by_agent.items()
+            if candidates[0].removed_at is None
+        ]
+        return list(self._by_agent), listed
+
+    def has_other_pools(self, pools: Collection[PoolId]) -> bool:
+        """Returns whether there are targets that serve none of the pools."""
+        return any(pool not in pools for pool in self._pools)
+
     def choose(
         self,
         pools: Iterable[PoolShare],
