Hand packets after the start to targets whatever their pool

What callers would see: a flow whose target took over the address of a target of another pool is reset by a balancer that has not seen the change yet.

Cause: an agent returned each packet whose mark names another pool. A balancer that is behind marks packets to the address with the former pool, so the agent returned packets of flows that its target holds.

Change: only starts are compared with the agent's pool. Only a start opens a flow, and a target returns packets of flows that it does not hold.

test_an_owner_at_an_address_that_is_used_again_is_found fails before ('0 not greater than or equal to 1' answers) and passes now.

--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -178,15 +178,17 @@
             self.counts["malformed"] += 1
             return
         tag, slots, busy_limit = split_mark(frame.mark)
-        if tag != self._tag:
-            # This address belonged to a target of another pool before.
-            self._return_other_pool(frame, data, sender, now)
-            return
         if frame.starts:
+            if tag != self._tag:
+                # This address belonged to a target of another pool before.
+                self._return_other_pool(frame, data, sender, now)
+                return
             self._busy.slots = slots
             if not self._admit(frame, sender, busy_limit, now):
                 return
         else:
+            # Only a start opens a flow, and only the target knows what it
+            # holds, so the balancer's belief of its pool does not matter.
             is_inquiry = self._wants_confirmation(busy_limit)
             self._record_request(frame, sender, is_inquiry, now)
         self._last_packet_at = now
@@ -221,7 +223,7 @@
             logging.INFO,
             "other-pool",
             now,
-            "returned a packet of %s: its pool is not %s",
+            "returned a start of %s: its pool is not %s",
             unpack_caller(frame.key),
             self._pool,
         )
--- a/tests/test_other_pools.py
+++ b/tests/test_other_pools.py
@@ -145,6 +145,29 @@
         self.check_found(fleet, first)
         self.check_found(fleet, second)
 
+    def test_an_owner_at_an_address_that_is_used_again_is_found(self):
+        # Guards against an agent that returns packets of a flow that its
+        # target holds, because the balancer believes that the address still
+        # belongs to a target of another pool.
+        fleet, _ = self.make()
+        stale = list(fleet.vms)
+        former = fleet.targets.pop(0)
+        former.stop_agent()
+        owner = Target(fleet.net, former.host, NEW_POOL)
+        fleet.targets.append(owner)
+        started = owner.sidecar.held_flows.started
+        vm = make_vm(owner.host, "t-next", NEW_POOL, started=started)
+        fleet.vms = [*fleet.vms[1:], vm]
+        self.move(fleet)
+        for target in fleet.targets:
+            target.rejects_starts = target is not owner
+        caller = Caller(fleet.net, 2)
+        self.use(fleet, caller, 0)
+        self.assertIs(owner, fleet.find_owner(caller))
+        fleet.vms = stale
+        self.restart(fleet)
+        self.check_found(fleet, caller)
+
     def test_acknowledgements_reach_the_owner(self):
         # Guards against a download that ends because its caller sends nothing
         # but acknowledgements, which lead to no reset and no further search.
