Keep targets that have left the list while flows at them are in use

What callers would see: a target loses its connection to the platform, its registration expires, and 60 s later its open flows are reset, although they are in use and the target answers.

Cause: balancers dropped a target 60 s after it left the list, also as the confirmed owner of flows.

Change: the minute counts from the last packet of a flow that the target is known to hold. Starts go to registered targets only, as before.

test_a_flow_in_use_outlives_the_registration_of_its_target fails before ('(14, 0) != (13, 1)', answers and resets) and passes now.

--- a/jujuberun/owner_search.py
+++ b/jujuberun/owner_search.py
@@ -155,6 +155,7 @@
         now: float,
     ) -> None:
         """Forwards a packet to a confirmed owner, also while it is silent."""
+        owner.used_at = now
         may_be_lost = is_repeated or entry.is_resent
         if may_be_lost and now - owner.inquired_at >= self._clock.timeout:
             # The caller got no answer: the target may have failed.
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -47,7 +47,7 @@
 # Time for which an agent is unreachable while it restarts.
 AGENT_RESTART_S = 0.6
 # A target that is no longer registered may still hold flows, so packets are
-# sent to it for this long.
+# sent to it for this long, and longer while flows at it are in use.
 REMOVED_TARGET_RETENTION_S = 60.0
 
 
@@ -92,7 +92,8 @@
                 continue
             if candidate.removed_at is None:
                 candidate.removed_at = now
-            if now - candidate.removed_at > REMOVED_TARGET_RETENTION_S:
+            needed_at = max(candidate.removed_at, candidate.used_at)
+            if now - needed_at > REMOVED_TARGET_RETENTION_S:
                 del self._candidates[candidate.id]
         self._rebuild_indexes()
 
--- a/jujuberun/target_state.py
+++ b/jujuberun/target_state.py
@@ -36,6 +36,8 @@
         unanswered_since: time of the first packet in search of a flow's owner
             since the agent last sent anything, infinite if there was none.
         inquired_at: time of the last such packet.
+        used_at: time of the last packet of a flow that the target is known to
+            hold.
         removed_at: time at which the target disappeared from the list of
             registered targets, None while it is registered.
         started: start of the target, ms by the wall clock of its VM; None if
@@ -60,6 +62,7 @@
     suspected_until: float = -math.inf
     unanswered_since: float = math.inf
     inquired_at: float = -math.inf
+    used_at: float = -math.inf
     removed_at: float | None = None
     started: int | None = None
 
--- a/tests/test_owner_search.py
+++ b/tests/test_owner_search.py
@@ -80,6 +80,20 @@
         self.search(fleet, caller)
         self.assertEqual((2, 0), (caller.answers, caller.resets))
 
+    def test_a_flow_in_use_outlives_the_registration_of_its_target(self):
+        # Guards against flows that are reset a minute after their target lost
+        # its connection to the platform, although they are in use.
+        fleet = Fleet(targets=3)
+        caller = self.open_flow(fleet)
+        owner = fleet.find_owner(caller)
+        fleet.vms = [vm for vm in fleet.vms if vm.peer[0] != owner.host]
+        for generation in range(2, 30):
+            fleet.distribute_config(generation)
+            fleet.run(5, step=1.0)
+            caller.send_request(fleet.balancers[0])
+            fleet.run(0.1)
+            self.assertEqual((generation, 0), (caller.answers, caller.resets))
+
     def test_target_listed_between_two_searches_keeps_its_flow(self):
         # Guards against a reset while this balancer's list lags behind.
         fleet = Fleet(targets=12)
