Name the pool in each start

Cause: the agent at the address told starts for the former pool from its own by 16 bits of a hash of the pool's name (frames.make_tag), and nothing else. The two names share them; 1 pair of names in 65,536 does.

Change: a start carries the whole name behind the packet, and the agent compares it and takes it off. It holds for any names in both directions, without state. Packets after the start that name another pool are returned again, unless the target may hold their flow.

--- a/jujuberun/flowtable.py
+++ b/jujuberun/flowtable.py
@@ -4,7 +4,11 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from jujuberun.frames import Frame, compute_sequence_distance
+from jujuberun.frames import (
+    NO_BUSY_LIMIT,
+    Frame,
+    compute_sequence_distance,
+)
 from jujuberun.ids import PoolId, ServiceId, TargetId, Urgency
 from jujuberun.manifest import PoolShare
 from jujuberun.overload.terms import StartTerms
@@ -30,6 +34,8 @@
             agent confirms the start.
         timed_out: whether no agent confirmed the start in time.
         is_repeated: whether the start was sent to the target again.
+        busy_limit: number of busy flows below which the agent accepts it.
+        is_named: whether it carried the name of the target's pool.
     """
 
     target: TargetId
@@ -37,6 +43,8 @@
     sequence: int | None = None
     timed_out: bool = False
     is_repeated: bool = False
+    busy_limit: int = NO_BUSY_LIMIT
+    is_named: bool = False
 
 
 @dataclass(slots=True)
--- a/jujuberun/frames.py
+++ b/jujuberun/frames.py
@@ -15,6 +15,7 @@
 MAX_PAYLOAD_BYTES = 1_200
 # A mark consists of the pool's tag, the target's slots and the busy limit. The
 # agent accepts a start only while its target has fewer busy flows than that.
+# The tag is a hash, which two pools may share; starts carry the name, too.
 _TAG_BITS, _SLOT_BITS, _BUSY_LIMIT_BITS = 16, 8, 8
 # With this busy limit, an agent accepts a start however busy its target is.
 NO_BUSY_LIMIT = (1 << _BUSY_LIMIT_BITS) - 1
@@ -74,6 +75,18 @@
     def set_mark(self, data: bytes, mark: int) -> bytes:
         """Returns the packet with this mark and the bounce flag cleared."""
 
+    def add_pool(self, data: bytes, pool: bytes) -> bytes:
+        """Returns a marked packet with the name of a pool behind it.
+
+        An empty name tells the agent that the balancer can send names.
+        """
+
+    def split_pool(self, data: bytes) -> tuple[bytes, bytes | None]:
+        """Returns a packet and the name of the pool that was behind it.
+
+        The name is None if the balancer cannot send names.
+        """
+
     def set_bounced(self, data: bytes) -> bytes:
         """Returns the packet with the bounce flag set."""
 
@@ -82,7 +95,7 @@
 
 
 def make_tag(pool: PoolId) -> int:
-    """Returns a 16-bit tag that identifies packets of a pool to agents."""
+    """Returns a 16-bit hash of a pool's name, for agents that read no names."""
     return xxhash.xxh3_64_intdigest(pool.encode()) % (1 << _TAG_BITS)
 
 
--- a/jujuberun/jujuberun.thrift
+++ b/jujuberun/jujuberun.thrift
@@ -238,6 +238,7 @@
   4: bool draining              // the agent accepts no new flows
   5: optional i32 retry_after   // ms until a cold target has capacity; missing:
                                 // declined for another reason
+  6: optional bool needs_pool   // the balancer has to send the pool's name
 }
 
 // Tells an agent how many starts its target may take while it is cold.
--- a/jujuberun/messages.py
+++ b/jujuberun/messages.py
@@ -648,6 +648,7 @@
         3: (TType.I32, "service_time", False),
         4: (TType.BOOL, "draining", False),
         5: (TType.I32, "retry_after", False),
+        6: (TType.BOOL, "needs_pool", False),
     }
 
     def __init__(
@@ -657,12 +658,14 @@
         service_time=None,
         draining=None,
         retry_after=None,
+        needs_pool=None,
     ):
         self.key = key
         self.busy = busy
         self.service_time = service_time
         self.draining = draining
         self.retry_after = retry_after
+        self.needs_pool = needs_pool
 
 
 class Warmup(TPayload):
--- a/jujuberun/ownersearch/held_flows.py
+++ b/jujuberun/ownersearch/held_flows.py
@@ -86,6 +86,10 @@
         """
         self._remember(key, now)
 
+    def may_hold(self, key: bytes) -> bool:
+        """Returns whether the target may hold a flow that is not tracked."""
+        return key in self._removed
+
     def forget(self, key: bytes) -> None:
         """Forgets a flow that the target does not hold."""
         if self._removed.pop(key, None) is not None:
--- a/jujuberun/packetport.py
+++ b/jujuberun/packetport.py
@@ -40,7 +40,11 @@
         await self._port.serve(handle)
 
     def send_start(
-        self, entry: FlowEntry, candidate: TargetState, busy_limit: int
+        self,
+        entry: FlowEntry,
+        candidate: TargetState,
+        busy_limit: int,
+        names_pool: bool,
     ) -> None:
         """Offers the start of a flow to a target.
 
@@ -49,8 +53,11 @@
             candidate: the target.
             busy_limit: number of busy flows below which the agent accepts the
                 start, or NO_BUSY_LIMIT.
+            names_pool: whether the start carries the name of the target's pool.
         """
-        self._send(entry.start_packet, candidate, busy_limit)
+        pool = candidate.pool.encode() if names_pool else b""
+        marked = self._mark(entry.start_packet, candidate, busy_limit)
+        self._port.send(self._codec.add_pool(marked, pool), candidate.agent)
 
     def send_packet(self, data: bytes, candidate: TargetState) -> None:
         """Sends a packet after the start of a flow to a target."""
@@ -68,8 +75,14 @@
     def _send(
         self, data: bytes, candidate: TargetState, busy_limit: int
     ) -> None:
+        marked = self._mark(data, candidate, busy_limit)
+        self._port.send(marked, candidate.agent)
+
+    def _mark(
+        self, data: bytes, candidate: TargetState, busy_limit: int
+    ) -> bytes:
         tag = self._tags.get(candidate.pool)
         if tag is None:
             tag = self._tags[candidate.pool] = make_tag(candidate.pool)
         mark = make_mark(tag, candidate.slots, busy_limit)
-        self._port.send(self._codec.set_mark(data, mark), candidate.agent)
+        return self._codec.set_mark(data, mark)
--- /dev/null
+++ b/jujuberun/poolcheck/agent_versions.py
@@ -0,0 +1,49 @@
+"""Decides which starts carry the name of their pool."""
+
+from jujuberun.target_state import TargetState
+
+
+class AgentVersions:
+    """What a balancer knows about agents that read names of pools.
+
+    An agent of the version before drops a start with a name. An agent that
+    reads names asks for the name of a start without one, so that a wrong guess
+    never lets a start open in another pool.
+
+    Attributes:
+        assumes_names: whether agents that have not answered yet are taken for
+            such that read names.
+    """
+
+    def __init__(self) -> None:
+        self.assumes_names = True
+
+    def sends_name(self, candidate: TargetState) -> bool:
+        """Returns whether a start to a target carries the name of its pool.
+
+        It does in any case where an agent of the version before may give the
+        start to a target of another pool: that agent drops it then.
+        """
+        if candidate.shares_tag:
+            return True
+        if candidate.reads_pool is None:
+            return self.assumes_names
+        return candidate.reads_pool
+
+    def record_answer(self, candidate: TargetState, was_named: bool) -> None:
+        """Records that an agent accepted or declined a start."""
+        candidate.reads_pool = self.assumes_names = was_named
+
+    def record_request(self, candidate: TargetState) -> None:
+        """Records that an agent asked for the name of a pool."""
+        candidate.reads_pool = self.assumes_names = True
+
+    def record_timeout(self, candidate: TargetState, was_named: bool) -> None:
+        """Records that an agent did not answer a start.
+
+        It may be of the version before, or have been replaced by such a one.
+        """
+        if was_named and candidate.reads_pool is None:
+            self.assumes_names = False
+        if candidate.suspicions:
+            candidate.reads_pool = None
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -15,7 +15,6 @@
     NO_BUSY_LIMIT,
     Frame,
     FrameCodec,
-    make_tag,
     split_mark,
     unpack_caller,
 )
@@ -27,6 +26,7 @@
 from jujuberun.ownersearch.held_flows import HeldFlows
 from jujuberun.ownersearch.open_inquiries import OpenInquiries, OpenInquiry
 from jujuberun.peers import Peers
+from jujuberun.poolcheck.start_check import PoolChecker, StartCheck
 from jujuberun.port import Port, handle_each
 from jujuberun.warmup.agent_limit import AgentLimit
 from jujuberun.wire import Accepted, Declined, Warmup
@@ -81,7 +81,7 @@
         self._outbound = outbound
         self._target = target
         self._pool = pool
-        self._tag = make_tag(pool)
+        self._pool_checker = PoolChecker(pool)
         self._codec = codec
         self._peers = peers
         self._flows: OrderedDict[bytes, SidecarFlow] = OrderedDict()
@@ -173,22 +173,27 @@
         self.counts["failed"] += handle_each(batch, now, self._send_packet)
 
     def _deliver_packet(self, data: bytes, sender: Address, now: float) -> None:
+        data, pool = self._codec.split_pool(data)
         frame = self._codec.read_request(data)
         if frame is None:
             self.counts["malformed"] += 1
             return
         tag, slots, busy_limit = split_mark(frame.mark)
         if frame.starts:
-            if tag != self._tag:
-                # This address belonged to a target of another pool before.
+            check = self._pool_checker.check(pool, tag)
+            if check is StartCheck.OTHER_POOL:
                 self._return_other_pool(frame, data, sender, now)
                 return
+            if check is StartCheck.NO_NAME:
+                self._decline(frame, sender, needs_pool=True)
+                return
             self._busy.slots = slots
             if not self._admit(frame, sender, busy_limit, now):
                 return
+        elif not self._is_for_target(frame, tag):
+            self._return_other_pool(frame, data, sender, now)
+            return
         else:
-            # Only a start opens a flow, and only the target knows what it
-            # holds, so the balancer's belief of its pool does not matter.
             is_inquiry = self._wants_confirmation(busy_limit)
             self._record_request(frame, sender, is_inquiry, now)
         self._last_packet_at = now
@@ -215,6 +220,18 @@
             not self._busy.count and now - self._last_packet_at > DRAIN_QUIET_S
         )
 
+    def _is_for_target(self, frame: Frame, tag: int) -> bool:
+        """Returns whether the target may hold the flow of a packet.
+
+        A balancer that is behind may take the address for one of another pool,
+        while the target holds the flow.
+        """
+        return (
+            self._pool_checker.check(None, tag) is StartCheck.OWN_POOL
+            or frame.key in self._flows
+            or self.held_flows.may_hold(frame.key)
+        )
+
     def _return_other_pool(
         self, frame: Frame, data: bytes, sender: Address, now: float
     ) -> None:
@@ -223,7 +240,7 @@
             logging.INFO,
             "other-pool",
             now,
-            "returned a start of %s: its pool is not %s",
+            "returned a packet of %s: its pool is not %s",
             unpack_caller(frame.key),
             self._pool,
         )
@@ -245,17 +262,31 @@
         wait_ms = None if full else self._warmup.take(frame.key, now)
         if full or wait_ms is not None:
             self.counts["declined"] += 1
-            service_us = round(self._work.mean * 1e6)
-            declined = Declined(
-                frame.key, self._busy.count, service_us, self.draining, wait_ms
-            )
-            self._peers.send(declined, self._find_peer(sender))
+            self._decline(frame, sender, wait_ms)
             return False
         if flow is not None:
             self._remove(flow)
         self._add(SidecarFlow(frame.key, sender, now, now))
         return True
 
+    def _decline(
+        self,
+        frame: Frame,
+        sender: Address,
+        wait_ms: int | None = None,
+        needs_pool: bool = False,
+    ) -> None:
+        """Tells a balancer that a start was not forwarded."""
+        declined = Declined(
+            frame.key,
+            self._busy.count,
+            round(self._work.mean * 1e6),
+            self.draining,
+            wait_ms,
+            needs_pool or None,
+        )
+        self._peers.send(declined, self._find_peer(sender))
+
     def _wants_confirmation(self, busy_limit: int) -> bool:
         """Returns whether a packet after the start is sent to find its owner.
 
--- a/jujuberun/standin_packets.py
+++ b/jujuberun/standin_packets.py
@@ -8,7 +8,7 @@
 from jujuberun.ids import Address
 
 _HEADER = struct.Struct(">12sBIII")
-_STARTS_FLAG, _BOUNCED_FLAG = 1, 2
+_STARTS_FLAG, _BOUNCED_FLAG, _NAMES_POOL_FLAG = 1, 2, 4
 _MARK_OFFSET = _HEADER.size - 4
 _FLAGS_OFFSET = KEY_BYTES
 
@@ -51,6 +51,21 @@
         changed[_MARK_OFFSET : _HEADER.size] = mark.to_bytes(4, "big")
         return bytes(changed)
 
+    def add_pool(self, data: bytes, pool: bytes) -> bytes:
+        """Returns a marked packet with the name of a pool behind it."""
+        changed = bytearray(data)
+        changed[_FLAGS_OFFSET] |= _NAMES_POOL_FLAG
+        return bytes(changed) + pool + bytes([len(pool)])
+
+    def split_pool(self, data: bytes) -> tuple[bytes, bytes | None]:
+        """Returns a packet and the name of the pool that was behind it."""
+        if not data[_FLAGS_OFFSET] & _NAMES_POOL_FLAG:
+            return data, None
+        end = len(data) - 1 - data[-1]
+        changed = bytearray(data[:end])
+        changed[_FLAGS_OFFSET] &= ~_NAMES_POOL_FLAG
+        return bytes(changed), data[end:-1]
+
     def set_bounced(self, data: bytes) -> bytes:
         """Returns the packet with the bounce flag set."""
         changed = bytearray(data)
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -20,6 +20,7 @@
 from jujuberun.overload.terms import START_LIFETIME_S
 from jujuberun.packetport import PacketPort
 from jujuberun.peers import Peers
+from jujuberun.poolcheck.agent_versions import AgentVersions
 from jujuberun.port import run_checks
 from jujuberun.servicemap import ServiceMap
 from jujuberun.start_placement import (
@@ -96,6 +97,7 @@
         self._timeout = timeout
         self._order = order
         self._reports = LoadReports(steering, order.work, port, counts, log)
+        self._versions = AgentVersions()
         self._unconfirmed: deque[tuple[float, FlowEntry, Offer]] = deque()
         self._waiting = WaitingRooms(order)
         self._next_round_at = math.inf
@@ -117,7 +119,8 @@
             is_confirmed = offer.sequence is not None and candidate is not None
             if is_confirmed and candidate.takes_starts:
                 # The target accepted, but its answer did not reach the caller.
-                self._port.send_start(entry, candidate, NO_BUSY_LIMIT)
+                offer.busy_limit = NO_BUSY_LIMIT
+                self._send_offer(entry, offer, candidate)
                 return
         if not self._waiting.contains(entry):
             self.offer(entry, now)
@@ -199,11 +202,20 @@
         self._steering.record_offer(candidate)
         self._cold.prepare_offer(candidate, now)
         self._waiting.record_offer(candidate.pool, entry, now)
-        self._port.send_start(entry, candidate, busy_limit)
+        offer.busy_limit = busy_limit
+        self._send_offer(entry, offer, candidate)
         if not self._unconfirmed:
             self._timers_changed.set()
         self._unconfirmed.append((now + self._timeout.seconds, entry, offer))
 
+    def _send_offer(
+        self, entry: FlowEntry, offer: Offer, candidate: TargetState
+    ) -> None:
+        offer.is_named = self._versions.sends_name(candidate)
+        self._port.send_start(
+            entry, candidate, offer.busy_limit, offer.is_named
+        )
+
     def _hold_start(self, entry: FlowEntry, now: float) -> None:
         """Lets a start wait until a target has room."""
         pool = choose_pool(entry.pools, entry.key)
@@ -299,6 +311,7 @@
             entry.offers.append(offer)
         elif offer.sequence is None:
             self._timeout.record(now - offer.sent_at)
+            self._versions.record_answer(candidate, offer.is_named)
         if offer.sequence is None and not entry.began_elsewhere:
             self.start_times.add(now - entry.first_seen_at)
             self._waiting.record_placement(candidate.pool, entry, now)
@@ -328,10 +341,14 @@
         candidate = self._reports.record(declined, entry, sender, now)
         if entry is None or candidate is None:
             return
-        self._counts["declined"] += 1
         offer = entry.find_offer(candidate.id)
+        if declined.needs_pool:
+            self._name_pool(entry, offer, candidate)
+            return
+        self._counts["declined"] += 1
         if offer is not None and offer.sequence is None:
             self._timeout.record(now - offer.sent_at)
+            self._versions.record_answer(candidate, offer.is_named)
         wait_ms = declined.retry_after
         entry.record_decline(candidate.id, wait_ms is not None)
         self._cold.record_decline(candidate, wait_ms, now)
@@ -352,6 +369,15 @@
             return
         self.offer(entry, now)
 
+    def _name_pool(
+        self, entry: FlowEntry, offer: Offer | None, candidate: TargetState
+    ) -> None:
+        """Sends a start again, with its pool, to an agent that reads it."""
+        self._versions.record_request(candidate)
+        self._counts["pools_named"] += 1
+        if offer is not None and entry.start_packet is not None:
+            self._send_offer(entry, offer, candidate)
+
     async def run_timers(self) -> None:
         """Checks offers and held starts when they are due, until cancelled."""
         while True:
@@ -387,6 +413,7 @@
         candidate = self._steering.find(offer.target)
         if candidate is not None:
             self._reports.record_timeout(candidate, now)
+            self._versions.record_timeout(candidate, offer.is_named)
             self._waiting.record_unanswered(candidate.pool, entry, now)
         if entry.is_accepted or entry.start_packet is None:
             return
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -13,6 +13,7 @@
 from jujuberun.draining.drains import Drains
 from jujuberun.ids import Address, DomainId, PoolId, TargetId, VmState
 from jujuberun.manifest import PoolShare
+from jujuberun.poolcheck.shared_tags import find_shared_tags
 from jujuberun.target_state import TargetState, rank_targets
 from jujuberun.vm_list import Vm, VmList
 
@@ -372,6 +373,10 @@
             candidates.sort(
                 key=lambda candidate: candidate.removed_at is not None
             )
+            listed = {c.pool for c in candidates if c.removed_at is None}
+            shared = find_shared_tags(listed) if len(listed) > 1 else ()
+            for candidate in candidates:
+                candidate.shares_tag = candidate.pool in shared
 
     def _estimate_cost(
         self, candidate: TargetState, median_s: float, now: float
--- a/jujuberun/target_state.py
+++ b/jujuberun/target_state.py
@@ -40,6 +40,10 @@
             hold.
         removed_at: time at which the target disappeared from the list of
             registered targets, None while it is registered.
+        reads_pool: whether the agent reads the names of pools in starts, None
+            if unknown. Agents of the version before compare tags only.
+        shares_tag: whether another pool with the same tag has a registered
+            target at the agent's address.
         started: start of the target, ms by the wall clock of its VM; None if
             unknown.
     """
@@ -64,6 +68,8 @@
     inquired_at: float = -math.inf
     used_at: float = -math.inf
     removed_at: float | None = None
+    reads_pool: bool | None = None
+    shares_tag: bool = False
     started: int | None = None
 
     @property
