Hold back unnamed starts at machines that may be new

Scratch runs of the case with real processes of both versions, on: 20 requests run by the wrong service with former balancers and new agents, 2 with former agents (1 with the names exchanged).

Cause: a former process has nothing but the tag of 16 bits.

Change: a new agent declines starts of balancers that send no names for 6 s after its start, unless its target holds flows from before; a new balancer sends a former agent that did not answer a start only named ones, which it drops, for 6 s or until it answers.

--- a/jujuberun/events/packets.py
+++ b/jujuberun/events/packets.py
@@ -185,6 +185,12 @@
         "The target has not answered a request for 5 s.",
         "Check the target.",
     ),
+    Event(
+        "sidecar",
+        "declined_unnamed",
+        "A balancer of the version before offered a start to a new machine.",
+        "Expected while versions are mixed, for 6 s after a VM's start.",
+    ),
     Event("sidecar", "malformed", "A packet could not be read.", REPORT_FAULT),
     Event(
         "sidecar",
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -26,6 +26,7 @@
 from jujuberun.ownersearch.held_flows import HeldFlows
 from jujuberun.ownersearch.open_inquiries import OpenInquiries, OpenInquiry
 from jujuberun.peers import Peers
+from jujuberun.poolcheck.quarantine import Quarantine
 from jujuberun.poolcheck.start_check import PoolChecker, StartCheck
 from jujuberun.port import Port, handle_each
 from jujuberun.warmup.agent_limit import AgentLimit
@@ -82,6 +83,7 @@
         self._target = target
         self._pool = pool
         self._pool_checker = PoolChecker(pool)
+        self._quarantine = Quarantine()
         self._codec = codec
         self._peers = peers
         self._flows: OrderedDict[bytes, SidecarFlow] = OrderedDict()
@@ -187,6 +189,10 @@
             if check is StartCheck.NO_NAME:
                 self._decline(frame, sender, needs_pool=True)
                 return
+            if pool is None and self._quarantine.holds_back(now):
+                self.counts["declined_unnamed"] += 1
+                self._decline(frame, sender)
+                return
             self._busy.slots = slots
             if not self._admit(frame, sender, busy_limit, now):
                 return
@@ -333,7 +339,7 @@
         flow = self._flows.get(frame.key)
         if flow is None:
             if not frame.resets:
-                self.held_flows.record_use(frame.key, now)
+                self._record_former_flow(frame, now)
             return
         flow.used_at = now
         if frame.starts and not flow.accepted:
@@ -350,6 +356,12 @@
         if frame.resets or (flow.caller_closed and flow.target_closed):
             self._remove(flow)
 
+    def _record_former_flow(self, frame: Frame, now: float) -> None:
+        """Records a packet of the target in a flow that is not tracked."""
+        if not frame.starts and not self.held_flows.may_hold(frame.key):
+            self._quarantine.record_former_flow()
+        self.held_flows.record_use(frame.key, now)
+
     def _send_accepted(
         self, key: bytes, sequence: int, balancer: Address
     ) -> None:
@@ -400,6 +412,7 @@
 
     def expire(self, now: float) -> None:
         """Removes idle flows, and frees slots of overdue answers."""
+        self._quarantine.begin(now)
         self.held_flows.expire(now)
         for flow in list(self._flows.values()):
             idle = now - flow.used_at
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -120,7 +120,7 @@
             if is_confirmed and candidate.takes_starts:
                 # The target accepted, but its answer did not reach the caller.
                 offer.busy_limit = NO_BUSY_LIMIT
-                self._send_offer(entry, offer, candidate)
+                self._send_offer(entry, offer, candidate, now)
                 return
         if not self._waiting.contains(entry):
             self.offer(entry, now)
@@ -203,15 +203,19 @@
         self._cold.prepare_offer(candidate, now)
         self._waiting.record_offer(candidate.pool, entry, now)
         offer.busy_limit = busy_limit
-        self._send_offer(entry, offer, candidate)
+        self._send_offer(entry, offer, candidate, now)
         if not self._unconfirmed:
             self._timers_changed.set()
         self._unconfirmed.append((now + self._timeout.seconds, entry, offer))
 
     def _send_offer(
-        self, entry: FlowEntry, offer: Offer, candidate: TargetState
+        self,
+        entry: FlowEntry,
+        offer: Offer,
+        candidate: TargetState,
+        now: float,
     ) -> None:
-        offer.is_named = self._versions.sends_name(candidate)
+        offer.is_named = self._versions.sends_name(candidate, now)
         self._port.send_start(
             entry, candidate, offer.busy_limit, offer.is_named
         )
@@ -343,7 +347,7 @@
             return
         offer = entry.find_offer(candidate.id)
         if declined.needs_pool:
-            self._name_pool(entry, offer, candidate)
+            self._name_pool(entry, offer, candidate, now)
             return
         self._counts["declined"] += 1
         if offer is not None and offer.sequence is None:
@@ -370,13 +374,17 @@
         self.offer(entry, now)
 
     def _name_pool(
-        self, entry: FlowEntry, offer: Offer | None, candidate: TargetState
+        self,
+        entry: FlowEntry,
+        offer: Offer | None,
+        candidate: TargetState,
+        now: float,
     ) -> None:
         """Sends a start again, with its pool, to an agent that reads it."""
         self._versions.record_request(candidate)
         self._counts["pools_named"] += 1
         if offer is not None and entry.start_packet is not None:
-            self._send_offer(entry, offer, candidate)
+            self._send_offer(entry, offer, candidate, now)
 
     async def run_timers(self) -> None:
         """Checks offers and held starts when they are due, until cancelled."""
@@ -413,7 +421,7 @@
         candidate = self._steering.find(offer.target)
         if candidate is not None:
             self._reports.record_timeout(candidate, now)
-            self._versions.record_timeout(candidate, offer.is_named)
+            self._versions.record_timeout(candidate, offer.is_named, now)
             self._waiting.record_unanswered(candidate.pool, entry, now)
         if entry.is_accepted or entry.start_packet is None:
             return
--- a/jujuberun/target_state.py
+++ b/jujuberun/target_state.py
@@ -42,6 +42,7 @@
             registered targets, None while it is registered.
         reads_pool: whether the agent reads the names of pools in starts, None
             if unknown. Agents of the version before compare tags only.
+        named_until: time until which the agent gets no start without a name.
         shares_tag: whether another pool with the same tag has a registered
             target at the agent's address.
         started: start of the target, ms by the wall clock of its VM; None if
@@ -69,6 +70,7 @@
     used_at: float = -math.inf
     removed_at: float | None = None
     reads_pool: bool | None = None
+    named_until: float = -math.inf
     shares_tag: bool = False
     started: int | None = None
 
