Compare the addresses of a flow at its owner

What callers would see, in the product's own protocols: datagrams of a flow reach the flow of another caller, maybe of another service.

Cause: the agent finds a flow by its id alone, 64 bits of a hash of the addresses of caller and service.

Change: a packet whose addresses are not those of the flow is refused with a reset, so that its caller tries again from a new port. The wire is unchanged.

test_another_flow_with_the_same_id_is_refused fails before ([own, other] delivered).

--- a/jujuberun/agent.py
+++ b/jujuberun/agent.py
@@ -62,6 +62,10 @@
     last_received: float
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
+    def includes(self, forward: Any) -> bool:
+        """Returns whether a packet is of this flow; its id is only a hash."""
+        return (forward.address, forward.caller) == (self.address, self.caller)
+
 
 class Agent:
     """Part "agent": delivers packets to the flows of its target."""
@@ -278,6 +282,9 @@
         if owned is None:
             return False
         forward = packet.forward
+        if not owned.includes(forward):
+            self._replies.send_reset(packet, "flow-in-use", 0)
+            return True
         service = owned.flow.service
         own = self._peers.address
         if forward.service_id != service.id:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -4,8 +4,9 @@
 from test_peers import FakePort
 from testtools import TestCase
 
-from jujuberun.agent import Agent
+from jujuberun.agent import Agent, OwnedFlow
 from jujuberun.canonical import dump_manifest
+from jujuberun.flow_packet import FlowPacket
 from jujuberun.generations import Generations
 from jujuberun.members import Members
 from jujuberun.peers import Peers
@@ -123,6 +124,40 @@
         self.assertTrue(peers.refused["incomplete"] > 0)
         self.assertTrue(counts["flows_created"] > 0)
 
+    def test_another_flow_with_the_same_id_is_refused(self):
+        # Guards against packets that reach the flow of another caller, maybe of
+        # another service, because the hashes of their addresses are equal.
+        generations = Generations()
+        generations.offer(dump_manifest(MANIFEST), "test", 0.0).unwrap()
+        peers = Peers(FakePort(), Codec(Signer([b"k" * 16])))
+
+        async def main():
+            monitor = TargetMonitor(
+                "t-0", peers, generations, Members("vm"), random.Random(6)
+            )
+            agent = Agent("t-0", peers, generations, monitor, None)
+            flow = FakeFlow(MANIFEST.services["s-0"])
+            flow.delivered = []
+            flow.deliver = lambda payload, now: flow.delivered.append(payload)
+            balancer, callers = ("127.0.0.1", 9), (b"\1" * 6, b"\2" * 6)
+            agent._flows[b"12345678"] = OwnedFlow(
+                b"12345678", ADDRESS, callers[0], flow, balancer, 0, 1.0
+            )
+            for caller, payload in zip(
+                callers, (b"own", b"other"), strict=True
+            ):
+                forward = Forward(
+                    service_id="s-0", address=ADDRESS, caller=caller
+                )
+                forward.payload, forward.owner, forward.hops = payload, "t-0", 0
+                packet = FlowPacket(b"12345678", forward, balancer, balancer)
+                self.assertTrue(agent.deliver(packet, 1.0))
+            return flow.delivered, agent.counts
+
+        delivered, counts = anyio.run(main)
+        self.assertEqual([b"own"], delivered)
+        self.assertEqual(1, counts["reset_flow-in-use"])
+
     def test_negative_load_of_a_peer_is_refused(self):
         # Guards against a load report that ends the agent: the next update
         # raised on the square root of a negative load. It happened once in CI
