--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Tests of odd entries that other writers leave in the platform's store."""
 
+import contextlib
 import ipaddress
 import json
 
@@ -147,6 +148,63 @@
         vms = parse_vm_list(run_virtual(run).data).unwrap().vms
         self.assertEqual({"i-1", "i-2", "\ufffd"}, set(vms))
 
+    def test_odd_item_of_an_answer_does_not_stop_the_others(self):
+        # Guards against changes that are never read because an item of the same
+        # answer cannot be read: a target that drains got flows until its end,
+        # a drained domain too, and the next configuration came too late.
+        odd = (
+            {"Value": "%"},
+            {"Value": 7},
+            {"Value": None},
+            {"Revision": "x"},
+            {"Key": 7},
+        )
+        for changes in odd:
+            config, vms, drains = run_virtual(
+                lambda changes=changes: self.read_changes(changes)
+            )
+            self.assertEqual(8, parse_manifest(config).unwrap().generation)
+            found = parse_vm_list(vms).unwrap().vms.values()
+            self.assertEqual({VmState.LEAVING}, {vm.state for vm in found})
+            self.assertIn(b'"a"', drains)
+
+    async def read_changes(self, odd):
+        """Reads documents whose changes follow an odd item of one answer."""
+        store = FakeStore()
+        store.put("op/config", make_configuration(7))
+        store.put("servers/i-2", make_entry("10.2.0.2"))
+        find_events = store._find_events
+
+        def find_odd_events(prefix, after):
+            events = [dict(event) for event in find_events(prefix, after)]
+            if events:
+                events[0].update(odd)
+            return events
+
+        store._find_events = find_odd_events
+        source = store.make_source()
+        manifest = await source.fetch(DocumentKind.MANIFEST, 0, 0.1)
+        vms = await source.fetch(DocumentKind.VMS, 0, 0.1)
+        store.put("op/a", {})
+        store.put("op/evacuate/a", {})
+        store.put("op/config", make_configuration(8))
+        store.put("servers/a", {})
+        store.put("servers/i-2", make_entry("10.2.0.2", "draining"))
+        found = []
+        for kind, before in (
+            (DocumentKind.MANIFEST, manifest.index),
+            (DocumentKind.VMS, vms.index),
+            (DocumentKind.DRAINS, 0),
+        ):
+            document = None
+            for _ in range(3):
+                with contextlib.suppress(SourceError):
+                    document = await source.fetch(kind, before, 0.1)
+                if document is not None:
+                    break
+            found.append(b"" if document is None else document.data)
+        return found
+
     def test_entry_below_another_key_does_not_replace_a_target(self):
         # Guards against "servers/x/i-1", which was taken for target i-1.
         other = make_entry("10.9.9.9")
