--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -205,6 +205,23 @@
             found.append(b"" if document is None else document.data)
         return found
 
+    def test_odd_part_of_a_route_or_of_the_limits_does_not_stop_it(self):
+        # Guards against a configuration, or a route, that is refused for one
+        # part of it.
+        shares = [
+            {"Service": "counts", "Weight": 1},
+            {"Service": "no name", "Weight": 1},
+            {"Service": "sheets", "Weight": "x"},
+            7,
+        ]
+        route = make_route(Service=None, WeightedServices=shares)
+        document = make_configuration(7, route)
+        for limits in ([], "x", 7, True, [{"IdleTimeoutMs": 1}]):
+            document["Limits"] = limits
+            text = translate_configuration(json.dumps(document).encode(), 1)
+            (service,) = parse_manifest(text).unwrap().services.values()
+            self.assertEqual(["counts"], [s.pool for s in service.pools])
+
     def test_entry_below_another_key_does_not_replace_a_target(self):
         # Guards against "servers/x/i-1", which was taken for target i-1.
         other = make_entry("10.9.9.9")
