Search a flow whose confirmed target is not its caller's

What callers would see: a flow is reset although a target of another pool holds it. Copies of its start reached two balancers while its service moved, and each was taken by a target; the caller went on with the one that the balancer of its later packets does not know.

Cause: when the target that an agent had confirmed returned a packet, the flow counted as lost with it, whatever sequence numbers the caller acknowledged.

Change: only a confirmation whose sequence number fits the packet counts.

test_the_target_that_the_caller_went_on_with_is_found fails before ('(1, 0) != (1, 1)', answers and resets) and passes now.

--- a/jujuberun/ownersearch/lost_flow_handler.py
+++ b/jujuberun/ownersearch/lost_flow_handler.py
@@ -76,7 +76,10 @@
         Returns:
             What was done; the caller carries out ASK_POOLS and REPEAT.
         """
-        has_lost_owner = entry.is_accepted and not silent
+        has_lost_owner = not silent and any(
+            offer.sequence is not None and search.includes(offer.sequence)
+            for offer in entry.offers
+        )
         listed = self.check_list(entry, now)
         action = decide_lost_search(
             search, has_lost_owner, is_covered, listed, now
--- a/tests/test_other_pools.py
+++ b/tests/test_other_pools.py
@@ -11,6 +11,7 @@
     Target,
     make_service,
     make_vm,
+    unpack,
 )
 
 from jujuberun.ids import PoolId
@@ -168,6 +169,28 @@
         self.restart(fleet)
         self.check_found(fleet, caller)
 
+    def test_the_target_that_the_caller_went_on_with_is_found(self):
+        # Guards against a reset by a balancer that knows another target, which
+        # took a copy of the start before its service moved.
+        fleet, _ = self.make()
+        caller = Caller(fleet.net, 2)
+        caller.start(fleet.balancers[0])
+        fleet.run(0.03)
+        self.move(fleet, indexes=[1])
+        caller.accepted = None
+        caller.start(fleet.balancers[1], copy=1)
+        fleet.run(0.03)
+        opened = [
+            target.pool
+            for target in fleet.targets
+            for key in target.flows
+            if unpack(key)[0] == caller.address
+        ]
+        self.assertEqual([POOL, NEW_POOL], opened)
+        self.use(fleet, caller, 0, PATIENCE_S)
+        self.assertEqual((1, 0), (caller.answers, caller.resets))
+        self.assertEqual(NEW_POOL, fleet.find_owner(caller).pool)
+
     def test_acknowledgements_reach_the_owner(self):
         # Guards against a download that ends because its caller sends nothing
         # but acknowledgements, which lead to no reset and no further search.
