Ask other pools only after silence, not for late answers

What callers would see: nothing; this is load. In fleets of several pools, a search began a round of questions to all agents whenever bounces arrived before the confirmation of the owner, or a confirmation was lost, so that rounds followed moved flows on links that may be full already.

Change: the agents of other pools are asked once each target without an answer was asked twice and the measured time has passed since it was asked first.

test_a_search_that_finds_its_owner_needs_no_messages fails before (8 messages in place of 0).

--- a/jujuberun/ownersearch/flow_search.py
+++ b/jujuberun/ownersearch/flow_search.py
@@ -214,6 +214,20 @@
             if target not in self.inquiries and target not in bounced
         ]
 
+    def has_waited(self, bounced: Collection[TargetId], since: float) -> bool:
+        """Returns whether all targets without an answer have had their time.
+
+        Args:
+            bounced: targets that bounced a packet of the flow.
+            since: time until which they must have been asked first, seconds,
+                monotonic. They must have been asked twice, too.
+        """
+        return all(
+            self.inquiries[target].copies > 1
+            and self.inquiries[target].first_at <= since
+            for target in self.list_open(bounced)
+        )
+
     def find_only_left(self, bounced: Collection[TargetId]) -> TargetId | None:
         """Returns the target that is left after all others bounced a packet.
 
--- a/jujuberun/ownersearch/search_runner.py
+++ b/jujuberun/ownersearch/search_runner.py
@@ -143,7 +143,7 @@
                 self.inquiries.ask(entry, search, targets, now)
                 self._timers_changed.set()
         if not search.list_unasked(entry.bounced_by):
-            self._end_pass(entry, search, trigger, now)
+            self._end_pass(entry, search, now)
         is_waiting = isinstance(step, Wait)
         due = step.until if is_waiting else find_due(search, inputs, now)
         self.set_timer(entry, search, due)
@@ -198,11 +198,7 @@
         self._timers_changed.set()
 
     def _end_pass(
-        self,
-        entry: FlowEntry,
-        search: FlowSearch,
-        trigger: Trigger,
-        now: float,
+        self, entry: FlowEntry, search: FlowSearch, now: float
     ) -> None:
         """Handles a search that has asked all targets.
 
@@ -213,10 +209,10 @@
         if search.first_pass_at is None:
             search.first_pass_at = now
         left = search.find_only_left(entry.bounced_by)
-        if left is None and trigger is not Trigger.TIMER:
-            return
         if not self.is_covered(entry, search):
-            if may_ask_pools(search, now):
+            since = now - self._clock.timeout
+            has_waited = search.has_waited(entry.bounced_by, since)
+            if has_waited and may_ask_pools(search, now):
                 self._ask_other_pools(entry, search)
         elif left is not None and search.packets:
             self._counts["owners_left_over"] += 1
--- a/tests/test_other_pools.py
+++ b/tests/test_other_pools.py
@@ -23,7 +23,7 @@
 )
 from jujuberun.ownersearch.held_flows import MAX_ADDRESSES_PER_MESSAGE
 from jujuberun.servicemap import FORMER_POOL_RETENTION_S
-from jujuberun.wire import HeldAddresses, ListAddresses
+from jujuberun.wire import Accepted, HeldAddresses, ListAddresses
 
 NEW_POOL, THIRD_POOL = PoolId("counts-next"), PoolId("counts-last")
 PATIENCE_S = 1.5  # below the time in which a caller gives up
@@ -334,6 +334,25 @@
         counts = fleet.balancers[1].relay.counts
         self.assertEqual((0, 0), (caller.resets, counts["address_inquiries"]))
 
+    def test_a_search_that_finds_its_owner_needs_no_messages(self):
+        # Guards against a round for each moved flow: bounces arrive before the
+        # confirmation of the owner, or a confirmation is lost.
+        for delay, lost_count in ((0.02, 0), (0.0, 1)):
+            fleet, caller = self.make(old=5)
+            owner, lost = fleet.find_owner(caller), []
+            fleet.net.get_delay = lambda data, sender, address, owner=owner: (
+                delay if sender[0] == owner.host != address[0] else 0.0  # noqa: B023
+            )
+            fleet.net.is_lost = lambda data, sender, address: (
+                isinstance(data, Accepted)
+                and len(lost) < lost_count  # noqa: B023
+                and not lost.append(data)  # noqa: B023
+            )
+            self.check_found(fleet, caller)
+            counts = fleet.balancers[1].relay.counts
+            self.assertEqual(lost_count, len(lost))
+            self.assertEqual(0, counts["address_inquiries"])
+
     def test_one_pool_needs_no_messages(self):
         # Guards against other decisions where all targets serve one pool.
         fleet = Fleet(targets=12)
