--- a/jujuberun/events/packets.py
+++ b/jujuberun/events/packets.py
@@ -141,6 +141,24 @@
         "All targets but one returned a packet, so that one got the others.",
         "Its agent does not confirm: check its version and its VM.",
     ),
+    Event(
+        "relay",
+        "address_inquiries",
+        "An agent was asked at which services its target holds flows.",
+        "A round asks all agents; many rounds: flows are lost, or move.",
+    ),
+    Event(
+        "relay",
+        "address_answers",
+        "An agent answered such a question.",
+        "Fewer than questions: agents are silent or of the version before.",
+    ),
+    Event(
+        "relay",
+        "pools_named",
+        "An agent asked for the name of a start's pool.",
+        "Expected while versions are mixed, and after an agent was silent.",
+    ),
     Event("relay", "malformed", "A packet could not be read.", REPORT_FAULT),
     Event(
         "relay", "failed", "An unexpected error dropped a packet.", REPORT_FAULT
@@ -185,6 +203,12 @@
         "The target has not answered a request for 5 s.",
         "Check the target.",
     ),
+    Event(
+        "sidecar",
+        "addresses_listed",
+        "A balancer asked at which services the target holds flows.",
+        NO_ACTION,
+    ),
     Event(
         "sidecar",
         "declined_unnamed",
--- a/jujuberun/overload/outlook.py
+++ b/jujuberun/overload/outlook.py
@@ -6,7 +6,8 @@
 from jujuberun.flowtable import FlowEntry
 from jujuberun.overload.order import StartOrder
 from jujuberun.start_placement import NoPlace, Place, find_place
-from jujuberun.steering import Steering, choose_pool
+from jujuberun.steering import Steering
+from jujuberun.target_state import choose_pool
 from jujuberun.warmup.cold_targets import ColdTargets
 
 
--- a/jujuberun/relay.py
+++ b/jujuberun/relay.py
@@ -32,7 +32,8 @@
 from jujuberun.port import Port, handle_each
 from jujuberun.servicemap import ServiceMap
 from jujuberun.start_dispatcher import StartDispatcher
-from jujuberun.steering import Steering, choose_pool
+from jujuberun.steering import Steering
+from jujuberun.target_state import choose_pool
 from jujuberun.vm_list import VmList
 from jujuberun.warmup.bounds import WarmupSettings
 from jujuberun.warmup.cold_targets import ColdTargets
--- a/jujuberun/sidecar.py
+++ b/jujuberun/sidecar.py
@@ -26,7 +26,6 @@
 from jujuberun.ownersearch.held_flows import HeldFlows
 from jujuberun.ownersearch.open_inquiries import OpenInquiries, OpenInquiry
 from jujuberun.peers import Peers
-from jujuberun.poolcheck.quarantine import Quarantine
 from jujuberun.poolcheck.start_check import PoolChecker, StartCheck
 from jujuberun.port import Port, handle_each
 from jujuberun.warmup.agent_limit import AgentLimit
@@ -83,7 +82,6 @@
         self._target = target
         self._pool = pool
         self._pool_checker = PoolChecker(pool)
-        self._quarantine = Quarantine()
         self._codec = codec
         self._peers = peers
         self._flows: OrderedDict[bytes, SidecarFlow] = OrderedDict()
@@ -182,17 +180,17 @@
             return
         tag, slots, busy_limit = split_mark(frame.mark)
         if frame.starts:
-            check = self._pool_checker.check(pool, tag)
-            if check is StartCheck.OTHER_POOL:
-                self._return_other_pool(frame, data, sender, now)
-                return
-            if check is StartCheck.NO_NAME:
-                self._decline(frame, sender, needs_pool=True)
-                return
-            if pool is None and self._quarantine.holds_back(now):
-                self.counts["declined_unnamed"] += 1
-                self._decline(frame, sender)
-                return
+            match self._pool_checker.check(pool, tag, now):
+                case StartCheck.OTHER_POOL:
+                    self._return_other_pool(frame, data, sender, now)
+                    return
+                case StartCheck.NO_NAME:
+                    self._decline(frame, sender, needs_pool=True)
+                    return
+                case StartCheck.TOO_EARLY:
+                    self.counts["declined_unnamed"] += 1
+                    self._decline(frame, sender)
+                    return
             self._busy.slots = slots
             if not self._admit(frame, sender, busy_limit, now):
                 return
@@ -200,7 +198,8 @@
             self._return_other_pool(frame, data, sender, now)
             return
         else:
-            is_inquiry = self._wants_confirmation(busy_limit)
+            # Balancers of earlier versions send no inquiries.
+            is_inquiry = busy_limit == CONFIRMATION_REQUESTED
             self._record_request(frame, sender, is_inquiry, now)
         self._last_packet_at = now
         balancer = int.from_bytes(inet_aton(sender[0]), "big")
@@ -233,7 +232,7 @@
         while the target holds the flow.
         """
         return (
-            self._pool_checker.check(None, tag) is StartCheck.OWN_POOL
+            self._pool_checker.has_tag(tag)
             or frame.key in self._flows
             or self.held_flows.may_hold(frame.key)
         )
@@ -293,13 +292,6 @@
         )
         self._peers.send(declined, self._find_peer(sender))
 
-    def _wants_confirmation(self, busy_limit: int) -> bool:
-        """Returns whether a packet after the start is sent to find its owner.
-
-        Balancers of earlier versions send no such packets.
-        """
-        return busy_limit == CONFIRMATION_REQUESTED
-
     def _record_request(
         self, frame: Frame, sender: Address, is_inquiry: bool, now: float
     ) -> None:
@@ -359,7 +351,7 @@
     def _record_former_flow(self, frame: Frame, now: float) -> None:
         """Records a packet of the target in a flow that is not tracked."""
         if not frame.starts and not self.held_flows.may_hold(frame.key):
-            self._quarantine.record_former_flow()
+            self._pool_checker.quarantine.record_former_flow()
         self.held_flows.record_use(frame.key, now)
 
     def _send_accepted(
@@ -412,7 +404,7 @@
 
     def expire(self, now: float) -> None:
         """Removes idle flows, and frees slots of overdue answers."""
-        self._quarantine.begin(now)
+        self._pool_checker.quarantine.begin(now)
         self.held_flows.expire(now)
         for flow in list(self._flows.values()):
             idle = now - flow.used_at
--- a/jujuberun/start_dispatcher.py
+++ b/jujuberun/start_dispatcher.py
@@ -20,7 +20,7 @@
 from jujuberun.overload.terms import START_LIFETIME_S
 from jujuberun.packetport import PacketPort
 from jujuberun.peers import Peers
-from jujuberun.poolcheck.agent_versions import AgentVersions
+from jujuberun.poolcheck.offer_sender import OfferSender
 from jujuberun.port import run_checks
 from jujuberun.servicemap import ServiceMap
 from jujuberun.start_placement import (
@@ -31,8 +31,8 @@
     find_place,
     has_other_target,
 )
-from jujuberun.steering import Steering, choose_pool
-from jujuberun.target_state import TargetState
+from jujuberun.steering import Steering
+from jujuberun.target_state import TargetState, choose_pool
 from jujuberun.waiting_starts import WaitingRooms
 from jujuberun.warmup.cold_targets import ColdTargets
 from jujuberun.wire import Accepted, Declined
@@ -97,7 +97,7 @@
         self._timeout = timeout
         self._order = order
         self._reports = LoadReports(steering, order.work, port, counts, log)
-        self._versions = AgentVersions()
+        self._sender = OfferSender(port, counts)
         self._unconfirmed: deque[tuple[float, FlowEntry, Offer]] = deque()
         self._waiting = WaitingRooms(order)
         self._next_round_at = math.inf
@@ -120,7 +120,7 @@
             if is_confirmed and candidate.takes_starts:
                 # The target accepted, but its answer did not reach the caller.
                 offer.busy_limit = NO_BUSY_LIMIT
-                self._send_offer(entry, offer, candidate, now)
+                self._sender.send(entry, offer, candidate, now)
                 return
         if not self._waiting.contains(entry):
             self.offer(entry, now)
@@ -203,23 +203,11 @@
         self._cold.prepare_offer(candidate, now)
         self._waiting.record_offer(candidate.pool, entry, now)
         offer.busy_limit = busy_limit
-        self._send_offer(entry, offer, candidate, now)
+        self._sender.send(entry, offer, candidate, now)
         if not self._unconfirmed:
             self._timers_changed.set()
         self._unconfirmed.append((now + self._timeout.seconds, entry, offer))
 
-    def _send_offer(
-        self,
-        entry: FlowEntry,
-        offer: Offer,
-        candidate: TargetState,
-        now: float,
-    ) -> None:
-        offer.is_named = self._versions.sends_name(candidate, now)
-        self._port.send_start(
-            entry, candidate, offer.busy_limit, offer.is_named
-        )
-
     def _hold_start(self, entry: FlowEntry, now: float) -> None:
         """Lets a start wait until a target has room."""
         pool = choose_pool(entry.pools, entry.key)
@@ -315,7 +303,7 @@
             entry.offers.append(offer)
         elif offer.sequence is None:
             self._timeout.record(now - offer.sent_at)
-            self._versions.record_answer(candidate, offer.is_named)
+            self._sender.versions.record_answer(candidate, offer.is_named)
         if offer.sequence is None and not entry.began_elsewhere:
             self.start_times.add(now - entry.first_seen_at)
             self._waiting.record_placement(candidate.pool, entry, now)
@@ -347,12 +335,12 @@
             return
         offer = entry.find_offer(candidate.id)
         if declined.needs_pool:
-            self._name_pool(entry, offer, candidate, now)
+            self._sender.send_name(entry, offer, candidate, now)
             return
         self._counts["declined"] += 1
         if offer is not None and offer.sequence is None:
             self._timeout.record(now - offer.sent_at)
-            self._versions.record_answer(candidate, offer.is_named)
+            self._sender.versions.record_answer(candidate, offer.is_named)
         wait_ms = declined.retry_after
         entry.record_decline(candidate.id, wait_ms is not None)
         self._cold.record_decline(candidate, wait_ms, now)
@@ -373,19 +361,6 @@
             return
         self.offer(entry, now)
 
-    def _name_pool(
-        self,
-        entry: FlowEntry,
-        offer: Offer | None,
-        candidate: TargetState,
-        now: float,
-    ) -> None:
-        """Sends a start again, with its pool, to an agent that reads it."""
-        self._versions.record_request(candidate)
-        self._counts["pools_named"] += 1
-        if offer is not None and entry.start_packet is not None:
-            self._send_offer(entry, offer, candidate, now)
-
     async def run_timers(self) -> None:
         """Checks offers and held starts when they are due, until cancelled."""
         while True:
@@ -421,7 +396,7 @@
         candidate = self._steering.find(offer.target)
         if candidate is not None:
             self._reports.record_timeout(candidate, now)
-            self._versions.record_timeout(candidate, offer.is_named, now)
+            self._sender.versions.record_timeout(candidate, offer.is_named, now)
             self._waiting.record_unanswered(candidate.pool, entry, now)
         if entry.is_accepted or entry.start_packet is None:
             return
--- a/jujuberun/start_placement.py
+++ b/jujuberun/start_placement.py
@@ -6,8 +6,8 @@
 from jujuberun.flowtable import FlowEntry
 from jujuberun.frames import NO_BUSY_LIMIT
 from jujuberun.overload.order import MAX_HOLD_S, PoolOrder, StartOrder
-from jujuberun.steering import Steering, choose_pool
-from jujuberun.target_state import TargetState
+from jujuberun.steering import Steering
+from jujuberun.target_state import TargetState, choose_pool
 from jujuberun.warmup.cold_targets import ColdTargets
 
 # A start is offered for a free slot until it was declined this many times, then
--- a/jujuberun/steering.py
+++ b/jujuberun/steering.py
@@ -14,7 +14,7 @@
 from jujuberun.ids import Address, DomainId, PoolId, TargetId, VmState
 from jujuberun.manifest import PoolShare
 from jujuberun.poolcheck.shared_tags import find_shared_tags
-from jujuberun.target_state import TargetState, rank_targets
+from jujuberun.target_state import TargetState, choose_pool, rank_targets
 from jujuberun.vm_list import Vm, VmList
 
 # Consecutive unconfirmed offers after which a target is suspected.
@@ -399,19 +399,3 @@
             load / candidate.slots,
             candidate.domain != self._domain,
         )
-
-
-def choose_pool(pools: Iterable[PoolShare], key: bytes) -> PoolId | None:
-    """Returns a pool for a new flow, by weight and a hash of the flow's key."""
-    shares = [share for share in pools if share.weight > 0]
-    if not shares:
-        return None
-    if len(shares) == 1:
-        return shares[0].pool
-    total = sum(share.weight for share in shares)
-    position = xxhash.xxh3_64_intdigest(key) % total
-    for share in shares:
-        position -= share.weight
-        if position < 0:
-            return share.pool
-    return shares[-1].pool
--- a/jujuberun/target_state.py
+++ b/jujuberun/target_state.py
@@ -2,13 +2,14 @@
 
 import heapq
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 import xxhash
 
 from jujuberun.draining.drains import Drains
 from jujuberun.ids import Address, DomainId, PoolId, TargetId
+from jujuberun.manifest import PoolShare
 
 
 @dataclass(slots=True)
@@ -119,3 +120,19 @@
     )
     candidates = list(candidates)
     return [candidates[index] for _, index in ordered]
+
+
+def choose_pool(pools: Iterable[PoolShare], key: bytes) -> PoolId | None:
+    """Returns a pool for a new flow, by weight and a hash of the flow's key."""
+    shares = [share for share in pools if share.weight > 0]
+    if not shares:
+        return None
+    if len(shares) == 1:
+        return shares[0].pool
+    total = sum(share.weight for share in shares)
+    position = xxhash.xxh3_64_intdigest(key) % total
+    for share in shares:
+        position -= share.weight
+        if position < 0:
+            return share.pool
+    return shares[-1].pool
--- a/tests/test_poolcheck.py
+++ b/tests/test_poolcheck.py
@@ -42,7 +42,7 @@
 def make_former(target):
     """Lets an agent behave like one of the version before."""
     target.sidecar._codec = FormerCodec()
-    target.sidecar._quarantine.record_former_flow()
+    target.sidecar._pool_checker.quarantine.record_former_flow()
 
 
 def find_names_with_one_tag(count):
@@ -171,7 +171,7 @@
             for balancer in fleet.balancers:
                 balancer.relay._port._codec = FormerCodec()
             for target in fleet.targets:
-                target.sidecar._quarantine.record_former_flow()
+                target.sidecar._pool_checker.quarantine.record_former_flow()
             target = self.use_again(fleet, is_listed=True)
             self.check_served(self.open_flows(fleet, range(1, 25)))
             self.check_services(fleet)
@@ -277,6 +277,7 @@
 class PoolCheckerTest(testtools.TestCase):
     def test_only_a_balancer_that_sends_no_names_is_checked_by_the_tag(self):
         checker = PoolChecker(PoolId("tally-desk"))
+        checker.quarantine.begin(0.0)
         tag = make_tag(PoolId("mail-v13"))
         cases = (
             (None, tag, StartCheck.OWN_POOL),
@@ -288,7 +289,18 @@
             (b"\xff", tag, StartCheck.OTHER_POOL),
         )
         for name, tag, expected in cases:
-            self.assertIs(expected, checker.check(name, tag))
+            self.assertIs(expected, checker.check(name, tag, QUARANTINE_S))
+
+    def test_a_new_machine_takes_no_start_by_its_tag(self):
+        checker = PoolChecker(PoolId("tally-desk"))
+        tag = make_tag(PoolId("mail-v13"))
+        checker.quarantine.begin(0.0)
+        early = QUARANTINE_S - 0.01
+        self.assertIs(StartCheck.TOO_EARLY, checker.check(None, tag, early))
+        named = checker.check(b"tally-desk", tag, early)
+        self.assertIs(StartCheck.OWN_POOL, named)
+        checker.quarantine.record_former_flow()
+        self.assertIs(StartCheck.OWN_POOL, checker.check(None, tag, early))
 
     def test_only_pools_of_one_tag_are_shared(self):
         tally, mail, other = map(PoolId, ("tally-desk", "mail-v13", "other"))
