Move services between pools in the soak, and give two pools one tag

The soak changed routes by adding and removing them only, so no open flow ever stayed in a pool that its service had left, and its pools had different tags. The first service now moves to a third pool and back while balancers restart, also as planned work, and the first two pools have the names of review/2.

--- a/jujuberun/measure_packets.py
+++ b/jujuberun/measure_packets.py
@@ -173,6 +173,8 @@
             codec.set_mark(packet, mark)
             for packet in _make_packets(flows, starts)
         ]
+        if starts:
+            packets = [codec.add_pool(p, POOL.encode()) for p in packets]
         total_us += _time_packets(sidecar.deliver, packets, _BALANCER_ADDRESS)
         total_us += _time_packets(sidecar.send_back, packets, _AGENT_ADDRESS)
     return total_us
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,7 @@
 
 from soak.processes import Daemon
 from soak.promises import DRAIN_LIMIT_S, STORE
-from soak.world import TargetVm, World
+from soak.world import POOLS, TargetVm, World
 
 # A draining target keeps running for this time beyond DRAIN_LIMIT_S.
 DRAIN_EXTRA_S = 1.5
@@ -251,13 +251,30 @@
     for _ in range(rng.randint(1, 6)):
         address = f"198.18.1.{rng.randrange(1, 9)}", 443
         if world.routes.pop(address, None) is None:
-            world.routes[address] = rng.choice(("meals", "labels"))
+            world.routes[address] = rng.choice(POOLS[:2])
         world.store.publish(
             world.routes, world.promises, rng.choice([12_000, 15_000])
         )
         await _wait_random(rng, 0.1, 0.5)
 
 
+async def move_service(world: World, rng: random.Random) -> None:
+    """Moves a service to another pool and back, while balancers restart.
+
+    Its open flows stay where they are.
+    """
+    address, _ = world.permanent_services
+    for _ in range(rng.randint(1, 2)):
+        is_moved = world.routes[address] == POOLS[-1]
+        world.routes[address] = POOLS[0] if is_moved else POOLS[-1]
+        world.store.publish(world.routes, world.promises)
+        await _wait_random(rng, 0.5, 2.0)
+        for daemon in rng.sample(world.daemons, 2):
+            with world.promises.mark_disturbed(_list_names([daemon])):
+                daemon.signal(signal.SIGTERM)
+                await _wait_random(rng, 0.5, 2.0)
+
+
 def _choose_spare_target(world: World, rng: random.Random) -> TargetVm | None:
     """Returns the VM of a target whose pool has another target, or None."""
     candidates = [
@@ -283,7 +300,7 @@
             vm.daemon.signal(signal.SIGTERM)
             await anyio.sleep(SIGNAL_RETRY_S)
         await anyio.sleep(ADDRESS_REUSE_DELAY_S)
-        vm.replace(rng.choice(("meals", "labels")))
+        vm.replace(rng.choice(POOLS))
 
 
 FAULTS: tuple[Fault, ...] = (
@@ -305,6 +322,7 @@
     drain_target,
     crash_target,
     change_configuration,
+    move_service,
 )
 # Routine work of operators and the platform: it must not fail any request.
 PLANNED: tuple[Fault, ...] = (
@@ -312,4 +330,5 @@
     reload_all,
     drain_target,
     change_configuration,
+    move_service,
 )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,8 +22,9 @@
 from soak.targets import Target
 
 DOMAINS = ("a", "b")
-# Targets are assigned to these pools in turn.
-POOLS = ("meals", "meals", "labels")
+# Targets are assigned to these pools in turn. The first service moves between
+# the first and the last one. The first two names have one tag (review/2).
+POOLS = ("tally-desk", "mail-v13", "tally-next")
 MAX_SEEDS = 3
 MAX_RETRIES = 2
 # Most answers fit into one packet; the largest exceeds the send window.
@@ -132,8 +133,8 @@
         ]
         self.promises.set_host_names({b.alias: b.name for b in self.balancers})
         self.routes: dict[Address, str] = {
-            ("198.18.0.1", 443): "meals",
-            ("198.18.0.2", 443): "labels",
+            ("198.18.0.1", 443): POOLS[0],
+            ("198.18.0.2", 443): POOLS[1],
         }
         self.permanent_services = tuple(self.routes)
         self.store_proxies = [
