--- a/tests/soak/fabric.py
+++ b/tests/soak/fabric.py
@@ -60,6 +60,13 @@
         if self._links.passes("callers", balancer.name):
             port.send(packet, (balancer.bind_address, PACKET_PORT))
 
+    async def wait_ready_again(self) -> None:
+        """Waits until all balancers are in rotation, as from now on."""
+        # A balancer that stops may have been in rotation at its last check.
+        await anyio.sleep(2 * CHECK_PERIOD_S)
+        self.all_ready = anyio.Event()
+        await self.all_ready.wait()
+
     async def run(self) -> None:
         """Checks the health of all balancers until cancelled."""
         async with anyio.create_task_group() as group:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -99,6 +99,8 @@
                     _inject, world, PLANNED, CALM_PERIOD_S, faults
                 )
                 after = await _observe_calm_period(world, "during planned work")
+            with anyio.fail_after(READY_LIMIT_S):
+                await world.wait_ready_again()
             await check_configuration(world)
             world.stop_load()
         _check_calm_period(world, before)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -187,6 +187,10 @@
         """Waits until all balancers are in rotation."""
         await self._fabric.all_ready.wait()
 
+    async def wait_ready_again(self) -> None:
+        """Waits until all balancers are in rotation after planned work."""
+        await self._fabric.wait_ready_again()
+
     def start_load(self, callers: TaskGroup, users: TaskGroup) -> None:
         """Starts the load.
 
