--- a/jujuberun/ownersearch/address_rounds.py
+++ b/jujuberun/ownersearch/address_rounds.py
@@ -63,7 +63,7 @@
         self._is_wanted |= not self._is_running or self.began_at < since
 
     def find_next_at(self) -> float:
-        """Returns when `advance` is due, infinite for never."""
+        """Returns when the next step is due, infinite for never."""
         if self._is_running:
             return self._next_send_at if self._unsent else self._deadline
         return self._next_round_at if self._is_wanted else math.inf
