--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -25,12 +25,14 @@
     Attributes:
         exits: for each exit that no signal of the script caused, the time in
             monotonic seconds and the status.
+        last_status: status of the last exit, None before the first.
     """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Builds a daemon; see soak.processes.Daemon."""
         super().__init__(*args, **kwargs)
         self.exits: list[tuple[float, int]] = []
+        self.last_status: int | None = None
 
     def _start(self) -> None:
         settings = self.folder / f"{self.host.name}.toml"
@@ -55,6 +57,7 @@
         )
 
     def _check_exit_status(self, status: int) -> None:
+        self.last_status = status
         if not self._killed and self._terminated_at is None:
             self.exits.append((anyio.current_time(), status))
 
