--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,22 +5,25 @@
 import signal
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 import anyio
 from platformstore import make_entry
 from soak.callers import CallerFlow, CallerHost, Result
-from soak.layout import TARGET_PORT, Host
+from soak.layout import TARGET_PORT
 from soak.processes import Daemon
-from soak.targets import SLOTS, Target
+from soak.targets import SLOTS
 from soak.world import DOMAINS, Size, World
-from standins2.fleet import READY_LIMIT_S, Record, use_deployed_daemons
+from standins2.fleet import (
+    READY_LIMIT_S,
+    LoopbackWorld,
+    Record,
+    use_deployed_daemons,
+)
 
 FOLDER = Path(__file__).parent
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SIZE = Size(balancers=4, targets=7, users=0)
-SERVICE = ("198.18.0.1", 443)
 FLOWS = 48
 # The entry of the other writer: a service that no configuration names, at the
 # address of a target that lives.
@@ -33,15 +36,6 @@
 AGENT_START_S = 1.5
 
 
-class CaseWorld(World):
-    """A world whose targets state when they really started."""
-
-    def make_target(self, host: Host, pool: str) -> Target:
-        """Returns a new target that starts now."""
-        born = time.time_ns() // 1_000_000
-        return Target(host, pool, self.rng, self.promises, born)
-
-
 class Flows:
     """Flows of callers that stay open, and their requests."""
 
@@ -71,7 +65,7 @@
         self._record.write(f"{len(self._flows)} flows are open")
 
     async def _open_one(self, host: CallerHost, rng: random.Random) -> None:
-        flow = host.open(SERVICE, rng)
+        flow = host.open(self._world.services[0], rng)
         result = await host.start(flow)
         if result is not None:
             self._record.write(f"a flow was not opened: {result.value}")
@@ -126,7 +120,9 @@
 async def run_case(record: Record, folder: Path) -> int:
     """Runs the case; returns the exit status."""
     use_deployed_daemons()
-    world = CaseWorld(random.SystemRandom().randrange(1 << 30), SIZE, folder)
+    world = LoopbackWorld(
+        random.SystemRandom().randrange(1 << 30), SIZE, folder
+    )
     flows = Flows(world, record)
     if HAS_TROUBLE:
         write_odd_entry(world)
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -14,7 +14,10 @@
 
 import anyio
 from soak import world as soak_world
+from soak.layout import Host
 from soak.processes import ROOT, Daemon
+from soak.targets import Target
+from soak.world import POOLS, World
 
 READY_LIMIT_S = 30.0
 
@@ -94,6 +97,31 @@
     soak_world.Daemon = DeployedDaemon
 
 
+class LoopbackWorld(World):
+    """The soak's world, with services at loopback addresses.
+
+    Its targets register the time at which they really started.
+
+    Attributes:
+        services: address of the service of each of the first two pools.
+        spare_service: address of a service that a script may add.
+    """
+
+    def __init__(self, *args: Any) -> None:
+        """Builds the world; see soak.world.World."""
+        super().__init__(*args)
+        prefix = f"127.{self.layout.octet}.90"
+        self.services = (f"{prefix}.1", 443), (f"{prefix}.2", 443)
+        self.spare_service = f"{prefix}.3", 443
+        self.routes = dict(zip(self.services, POOLS, strict=False))
+        self.permanent_services = self.services
+
+    def make_target(self, host: Host, pool: str) -> Target:
+        """Returns a new target that starts now."""
+        born = time.time_ns() // 1_000_000
+        return Target(host, pool, self.rng, self.promises, born)
+
+
 class Record:
     """Writes lines to record.txt in the folder of a case."""
 
