--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,6 +17,7 @@
 from standins2.fleet import (
     READY_LIMIT_S,
     DeployedDaemon,
+    LoopbackWorld,
     Record,
     use_deployed_daemons,
 )
@@ -94,7 +95,9 @@
     use_deployed_daemons()
     soak_world.DaemonProxy = ResettingProxy
     ResettingProxy.record = record
-    world = World(random.SystemRandom().randrange(1 << 30), SIZE, folder)
+    world = LoopbackWorld(
+        random.SystemRandom().randrange(1 << 30), SIZE, folder
+    )
     ResettingProxy.impaired = world.daemons[0]
     async with anyio.create_task_group() as group:
         await world.start(group)
@@ -124,7 +127,7 @@
 async def publish_storm(world: World, record: Record) -> None:
     """Publishes configurations in quick succession."""
     for number in range(round(STORM_S / STORM_GAP_S)):
-        address = "198.18.1.1", 443
+        address = world.spare_service
         if number % 2:
             world.routes.pop(address, None)
         else:
