--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -393,6 +393,9 @@
     def _send(self, data: bytes) -> None:
         self._transport.sendto(data, (self.ip, self.fleet.ports["outbound"]))
 
+    def _write(self, text: str) -> None:
+        self.fleet.record.write(f"{self.name} {text}")
+
     def _reply(self, flow: BackendFlow, flags, seq, data=b"") -> None:
         start = flow.start
         self._send(
@@ -409,6 +412,7 @@
                     flow = None
                 if flow is None:
                     flow = self.flows[key] = BackendFlow(packet)
+                    self._write(f"took a start of {packet.source[1]}")
                     self.on_start(self, packet)
             self._reply(flow, SYN | ACK, flow.seq)
             return
@@ -443,6 +447,7 @@
             self._reply(flow, ACK | FIN, flow.seq + 1 + flow.sent)
 
     async def _work(self, flow: BackendFlow, text: str) -> None:
+        self._write(f"runs {text}")
         self.on_run(self, flow, text)
         async with self._semaphore:
             await asyncio.sleep(self.work_s)
@@ -481,6 +486,20 @@
 
     async def open(self) -> str:
         """Opens the flow; returns open, reset or silent."""
+        result = await self._open()
+        self._write(f"start to {self.service[0]}:{self.service[1]}: {result}")
+        return result
+
+    async def request(self, text: str, limit: float = 4.0) -> str:
+        """Sends a request; returns answered, reset or silent."""
+        result = await self._request(text, limit)
+        self._write(f"request {text}: {result}")
+        return result
+
+    def _write(self, text: str) -> None:
+        self.caller.fleet.record.write(f"caller {self.address[1]} {text}")
+
+    async def _open(self) -> str:
         began = time.monotonic()
         for copy, due in enumerate((*START_COPIES_S, START_LIMIT_S)):
             self.start_sent_at.append(time.monotonic())
@@ -494,8 +513,7 @@
                 await self._wait(began + due)
         return "silent"
 
-    async def request(self, text: str, limit: float = 4.0) -> str:
-        """Sends a request; returns answered, reset or silent."""
+    async def _request(self, text: str, limit: float) -> str:
         data = text.encode()
         at = self.sent
         self.sent += len(data)
