--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -29,6 +29,9 @@
 HEARTBEAT_S = 1.2
 START_COPIES_S = (0.2, 0.6)
 START_LIMIT_S = 1.4
+# A backend that has just started is slower by this factor for this time.
+COLD_S = 2.0
+COLD_RATIO = 1.6
 MASK = (1 << 32) - 1
 
 
@@ -332,6 +335,7 @@
         self.state, self.number = "ready", 0
         self.work_s = 0.03
         self.clock_ahead_s = 0.0
+        self._cold_until = 0.0
         self.born = 0
         self._semaphore = asyncio.Semaphore(slots)
         self._transport = None
@@ -349,6 +353,7 @@
         """Starts the backend: binds its address and registers itself."""
         now = time.time() + self.clock_ahead_s
         self.born = int(now * 1000)
+        self._cold_until = time.monotonic() + COLD_S
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _Socket(self._take), local_addr=self.app
@@ -371,11 +376,14 @@
             "Version": "v1",
             "Slots": self.slots,
             "State": self.state,
-            "WarmupLeftMs": 0,
+            "WarmupLeftMs": round(self._find_cold_time() * 1000),
             "Seq": self.number,
             "born": self.born,
         }
 
+    def _find_cold_time(self) -> float:
+        return max(0.0, self._cold_until - time.monotonic())
+
     def register(self) -> None:
         """Writes the registration to the store."""
         self.fleet.store.put(f"servers/{self.name}", self.make_entry())
@@ -434,7 +442,7 @@
             flow.is_closed = True
             return
         reached = (packet.ack - flow.seq - 1) & MASK
-        if reached <= flow.sent:
+        if reached <= flow.sent + 1:
             flow.acked = max(flow.acked, reached)
         if packet.data and packet.seq == flow.expected:
             flow.expected = (flow.expected + len(packet.data)) & MASK
@@ -450,15 +458,17 @@
         self._write(f"runs {text}")
         self.on_run(self, flow, text)
         async with self._semaphore:
-            await asyncio.sleep(self.work_s)
+            is_cold = self._find_cold_time() > 0
+            await asyncio.sleep(self.work_s * (COLD_RATIO if is_cold else 1))
         data = f"done {text}".encode()
         at = flow.sent
         flow.sent += len(data)
+        flags = ACK | FIN if self.state == "draining" else ACK
         wait = 0.2
         for _ in range(9):
             if flow.is_closed or flow.acked >= at + len(data):
                 return
-            self._reply(flow, ACK, flow.seq + 1 + at, data)
+            self._reply(flow, flags, flow.seq + 1 + at, data)
             await asyncio.sleep(wait)
             wait = min(1.6, 2 * wait)
 
@@ -474,6 +484,7 @@
         self.sent = 0
         self.backend_seq = None
         self.received = b""
+        self.is_ended = False
         self.read = 0
         self.reset_at = None
         self.opened_at = None
@@ -541,7 +552,8 @@
 
     def next_ack(self) -> int:
         """Returns the number that the flow acknowledges."""
-        return (self.backend_seq + 1 + len(self.received)) & MASK
+        received = len(self.received) + self.is_ended
+        return (self.backend_seq + 1 + received) & MASK
 
     def take(self, packet: Packet) -> None:
         """Takes a packet of the flow."""
@@ -561,6 +573,7 @@
             offset = (packet.seq - self.backend_seq - 1) & MASK
             if packet.data and offset == len(self.received):
                 self.received += packet.data
+                self.is_ended |= bool(packet.flags & FIN)
             if packet.data:
                 self._send(ACK, self.seq + 1 + self.sent, self.next_ack())
         self.changed.set()
@@ -686,12 +699,16 @@
         return f"127.{self.block}.9.{number + 1}:{self.ports['store']}"
 
     def _find_block(self) -> int:
+        """Returns a block of addresses, and keeps it from other cases."""
         for block in random.sample(range(16, 250), 200):
-            with socket.socket() as probe:
-                try:
+            self._lease = socket.socket()
+            try:
+                self._lease.bind((f"127.{block}.9.250", self.ports["store"]))
+                with socket.socket() as probe:
                     probe.bind((f"127.{block}.9.1", self.ports["store"]))
-                except OSError:
-                    continue
+            except OSError:
+                self._lease.close()
+                continue
             return block
         raise OSError("no free block of loopback addresses")
 
@@ -780,11 +797,6 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def has_trouble() -> bool:
-    """Returns whether the disruption is played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(case, folder: Path) -> int:
     """Runs a case; returns 1 if the rule broke, 0 if it held, else 2."""
 
